--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 # Needs Debian's protobuf-compiler; the plugins are pinned by go.mod.
 generate:
 	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
-	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc --proto_path=. --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative internal/rpc/peer.proto
+	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc --proto_path=. --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative internal/rpc/peer.proto internal/rpc/domain.proto
 
 # Compares the policy with two baselines on seeded workloads; writes the tables and plots under docs.
 measure:
--- a/cmd/mustardwalkd/main.go
+++ b/cmd/mustardwalkd/main.go
@@ -1,4 +1,4 @@
-// Command mustardwalkd runs one entry host of a mustardwalk deployment.
+// Command mustardwalkd runs one host of a mustardwalk deployment.
 package main
 
 import (
@@ -7,11 +7,16 @@
 	"syscall"
 
 	"github.com/mustardwalk/mustardwalk/internal/daemon"
+	"github.com/mustardwalk/mustardwalk/platform"
 )
 
 func main() {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if platform.Handles(os.Args[1:]) {
+		signal.Notify(signals, syscall.SIGHUP)
+		os.Exit(platform.Main(os.Args[1:], os.Stdout, signals))
+	}
 	// By default the signal of a file size limit ends the process without a log line; ignored, the write fails instead.
 	signal.Ignore(syscall.SIGXFSZ)
 	os.Exit(daemon.Main(os.Args[1:], os.Stderr, parts(), signals))
--- /dev/null
+++ b/internal/corehost/disk.go
@@ -0,0 +1,107 @@
+package corehost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mustardwalk/mustardwalk/internal/replica"
+)
+
+// diskWrite is what must be durable before its messages may be sent.
+type diskWrite struct {
+	records  []replica.Record
+	messages []replica.Message
+	mark     uint64
+	whole    *replica.Record // Replaces the whole file.
+}
+
+// diskQueue passes writes to the goroutine that owns the disk.
+type diskQueue struct {
+	mu     sync.Mutex
+	writes []diskWrite
+	filled chan struct{}
+}
+
+func newDiskQueue() *diskQueue { return &diskQueue{filled: make(chan struct{}, 1)} }
+
+func (q *diskQueue) put(w diskWrite) {
+	q.mu.Lock()
+	q.writes = append(q.writes, w)
+	q.mu.Unlock()
+	select {
+	case q.filled <- struct{}{}:
+	default:
+	}
+}
+
+// replace queues a rewrite of the file. The record covers all writes queued before.
+func (q *diskQueue) replace(state replica.Record) { q.put(diskWrite{whole: &state}) }
+
+func (q *diskQueue) take() []diskWrite {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := q.writes
+	q.writes = nil
+	return out
+}
+
+// writeRecords syncs the queued writes, as many at once as have gathered, and then sends what waited for them.
+func (h *Host) writeRecords(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-h.disk.filled:
+		}
+		if err := h.writeBatch(h.disk.take()); err != nil {
+			return eris.Wrap(err, "writing the data folder")
+		}
+	}
+}
+
+func (h *Host) writeBatch(writes []diskWrite) error {
+	var records []replica.Record
+	mark := uint64(0)
+	began := time.Now()
+	for _, w := range writes {
+		if w.whole != nil {
+			if err := h.flush(&records); err != nil {
+				return err
+			}
+			if err := h.store.Replace([]replica.Record{*w.whole}); err != nil {
+				return err
+			}
+			continue
+		}
+		records = append(records, w.records...)
+		mark = w.mark
+	}
+	if err := h.flush(&records); err != nil {
+		return err
+	}
+	h.metrics.syncs.Observe(time.Since(began).Seconds())
+	for _, w := range writes {
+		h.peers.send(w.messages)
+	}
+	if mark == 0 {
+		return nil
+	}
+	h.mu.Lock()
+	h.replica.Synced(mark)
+	err := h.pump(h.now())
+	h.mu.Unlock()
+	h.wake()
+	return err
+}
+
+func (h *Host) flush(records *[]replica.Record) error {
+	if len(*records) == 0 {
+		return nil
+	}
+	err := h.store.Append(*records)
+	*records = nil
+	return err
+}
--- /dev/null
+++ b/internal/corehost/dump.go
@@ -0,0 +1,50 @@
+package corehost
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// dump is the state of a host for people.
+type dump struct {
+	Host      string            `json:"host"`
+	Role      uint8             `json:"role"`
+	Term      uint64            `json:"term"`
+	Leader    string            `json:"leader"`
+	Leads     bool              `json:"leads"`
+	Commit    uint64            `json:"commit"`
+	Voters    []string          `json:"voters"`
+	Known     []string          `json:"known_hosts"`
+	Version   int64             `json:"config_version"`
+	ZonesOut  []string          `json:"zones_out"`
+	Jobs      map[string]string `json:"open_jobs"`
+	JobsHeld  int               `json:"jobs_held"`
+	Workers   map[string]int    `json:"attempts_by_worker"`
+	Proposals int               `json:"proposals_waiting"`
+}
+
+// ServeDump writes the state of this host as JSON.
+func (h *Host) ServeDump(w http.ResponseWriter, _ *http.Request) {
+	h.mu.Lock()
+	now := h.now()
+	st := h.replica.Status()
+	d := dump{
+		Host: h.s.Address, Role: uint8(st.Role), Term: st.Term, Leader: st.Leader, Leads: h.leads(now), Commit: st.Commit,
+		Known: h.known, Version: h.version(), ZonesOut: h.machine.ZonesOut(), Jobs: map[string]string{},
+		JobsHeld: h.machine.Jobs(), Workers: map[string]int{}, Proposals: len(h.waiting),
+	}
+	for _, v := range st.Config.Voters {
+		d.Voters = append(d.Voters, v.Host)
+	}
+	for id, j := range h.machine.Open() {
+		d.Jobs[string(id)] = j.State.String()
+	}
+	for id, x := range h.machine.Workers() {
+		d.Workers[id] = len(x.Attempts())
+	}
+	h.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		h.log.Info("dump_not_sent", "cause", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/corehost/forward.go
@@ -0,0 +1,100 @@
+package corehost
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/rpc"
+	"github.com/mustardwalk/mustardwalk/internal/service"
+)
+
+// passOnTimeout bounds a call that is passed on to the leader; operators go on to another host after a second.
+const passOnTimeout = 900 * time.Millisecond
+
+// Forwarder passes operations on to the leader when this host does not lead.
+type Forwarder struct {
+	host   *Host
+	client *http.Client
+
+	mu      sync.Mutex
+	clients map[string]rpc.Domain
+}
+
+// NewForwarder returns a forwarder of a host.
+func NewForwarder(h *Host) *Forwarder {
+	return &Forwarder{host: h, client: rpc.NewClient(passOnTimeout), clients: map[string]rpc.Domain{}}
+}
+
+// Operate carries an operation out here or on the leader.
+func (f *Forwarder) Operate(ctx context.Context, op service.Operation) service.Result {
+	r := f.host.operate(ctx, op)
+	if r.Outcome != service.Elsewhere {
+		return r
+	}
+	in, err := encodeOperation(op)
+	if err != nil {
+		f.host.log.Error(err, "operation_not_encoded", "kind", op.Kind.String())
+		return service.Result{Outcome: service.NotServing}
+	}
+	ctx, cancel := context.WithTimeout(ctx, passOnTimeout)
+	defer cancel()
+	out, err := f.leader(r.Leader).Operate(ctx, in)
+	if err != nil {
+		f.host.log.Info("operation_not_passed_on", "kind", op.Kind.String(), "leader", r.Leader, "cause", err.Error())
+		return service.Result{Outcome: service.Unclear}
+	}
+	outcome := service.Outcome(out.Outcome)
+	if outcome == service.Elsewhere {
+		outcome = service.NotServing // The leadership is moving; the caller tries again.
+	}
+	return service.Result{Outcome: outcome, Document: out.Document}
+}
+
+// LeaderAddress returns the host that leads, empty if unknown.
+func (f *Forwarder) LeaderAddress() string {
+	f.host.mu.Lock()
+	defer f.host.mu.Unlock()
+	return f.host.replica.Leader()
+}
+
+func (f *Forwarder) leader(host string) rpc.Domain {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.clients[host]
+	if c == nil {
+		c = rpc.NewDomainProtobufClient("http://"+peerAddress(host, f.host.s.PeerPort), f.client)
+		f.clients[host] = c
+	}
+	return c
+}
+
+func encodeOperation(op service.Operation) (*rpc.OperateRequest, error) {
+	in := &rpc.OperateRequest{Kind: uint32(op.Kind), Name: op.Zone, ClockMs: op.ClockMS}
+	var err error
+	switch {
+	case op.Config != nil:
+		in.Document, err = cbor.Marshal(op.Config)
+	case op.Worker != nil:
+		in.Document, err = cbor.Marshal(op.Worker)
+	}
+	return in, eris.Wrap(err, "encoding an operation")
+}
+
+func decodeOperation(in *rpc.OperateRequest) (service.Operation, error) {
+	op := service.Operation{Kind: service.OperationKind(in.Kind), Zone: in.Name, ClockMS: in.ClockMs}
+	switch op.Kind {
+	case service.PutConfig:
+		op.Config = &domain.Config{}
+		return op, eris.Wrap(cbor.Unmarshal(in.Document, op.Config), "decoding a configuration")
+	case service.Register, service.Deregister:
+		op.Worker = &domain.Worker{}
+		return op, eris.Wrap(cbor.Unmarshal(in.Document, op.Worker), "decoding a worker")
+	}
+	return op, nil
+}
--- /dev/null
+++ b/internal/corehost/host.go
@@ -0,0 +1,397 @@
+// Package corehost is the shell of a host that keeps the state of a scheduling domain: it drives the replicated log and
+// its disk, exchanges messages with the other hosts, and, while it leads, carries the orders of the leader out.
+package corehost
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/membership"
+	"github.com/mustardwalk/mustardwalk/internal/replica"
+	"github.com/mustardwalk/mustardwalk/internal/suspend"
+	"github.com/mustardwalk/mustardwalk/internal/wal"
+)
+
+// groupName is the name of the replicated log.
+const groupName replica.GroupID = "domain"
+
+// Settings of a host.
+type Settings struct {
+	Address    string // IP number of this host; identifies it among the hosts.
+	Zone       string
+	PeerPort   int // Same on all hosts.
+	DataFolder string
+	Founding   bool     // The deployment starts for the first time, with empty disks.
+	Seeds      []string // Addresses, without port, of hosts to start from.
+	Losses     int      // How many hosts with a disk may be lost at once.
+	Grace      time.Duration
+	Dispatch   dispatch.Options
+}
+
+// WorkerCaller carries orders to workers out.
+type WorkerCaller interface {
+	Call(ctx context.Context, c dispatch.Call) dispatch.Reply
+}
+
+// Timing of the replicated log. A lost leader is replaced within two seconds, so that reports and calls, which are
+// repeated every second or two, find a new one at their first repetition.
+var timing = replica.Timing{
+	Heartbeat:   100 * time.Millisecond,
+	Lease:       600 * time.Millisecond,
+	ElectionMin: 800 * time.Millisecond,
+	ElectionMax: 1400 * time.Millisecond,
+}
+
+// Periods of the shell.
+const (
+	tickEvery       = 25 * time.Millisecond // Several times per heartbeat.
+	reconsiderEvery = 500 * time.Millisecond
+	voterSilence    = 2500 * time.Millisecond // Silence after which another host may take a voter's place.
+	snapshotEntries = 3000
+)
+
+// Host is a running host.
+type Host struct {
+	s       Settings
+	log     logr.Logger
+	clock   *suspend.Clock
+	workers WorkerCaller
+	metrics *Metrics
+	store   *wal.Log
+
+	mu           sync.Mutex
+	replica      *replica.Replica
+	machine      *domain.Machine
+	leader       *dispatch.Leader
+	leaderTerm   uint64
+	waiting      map[uint64]waiter // By index of the log.
+	reconsidered time.Duration
+	known        []string // Hosts that keep the state, as far as known here.
+	stopping     bool
+
+	kick  chan struct{}
+	disk  *diskQueue
+	peers *peers
+}
+
+// waiter is a proposal whose result somebody waits for.
+type waiter struct {
+	term   uint64
+	result chan proposalResult
+}
+
+type proposalResult struct {
+	result    domain.Result
+	committed bool // False: another entry took the place; the command is never applied.
+}
+
+// Open reads the data folder and builds the host. Run must be called next.
+func Open(s Settings, workers WorkerCaller, m *Metrics, log logr.Logger) (*Host, error) {
+	store, state, err := wal.Open(s.DataFolder)
+	if err != nil {
+		return nil, eris.Wrap(err, "opening the data folder")
+	}
+	h := &Host{
+		s: s, log: log, clock: suspend.New(), workers: workers, metrics: m, store: store,
+		machine: domain.New(), waiting: map[uint64]waiter{}, kick: make(chan struct{}, 1), disk: newDiskQueue(),
+	}
+	h.s.Dispatch.Log = func(event string, kv ...any) { log.Info(event, kv...) }
+	incarnation := state.Incarnation
+	if incarnation == 0 {
+		if incarnation, err = h.begin(); err != nil {
+			return nil, errors.Join(err, store.Close())
+		}
+	}
+	h.known = slices.Clone(s.Seeds)
+	founding := replica.Config{}
+	for _, seed := range s.Seeds {
+		founding.Voters = append(founding.Voters, replica.Member{Host: seed, Incarnation: replica.FoundingIncarnation, Disk: true})
+	}
+	self := replica.Member{Host: s.Address, Incarnation: incarnation, Disk: true, Zone: s.Zone}
+	h.replica = replica.New(replica.Options{
+		Group: groupName, Self: self, Founding: founding, Desired: founding.Voters, Contacts: s.Seeds, Timing: timing,
+		SnapshotEntries: snapshotEntries, Random: rand.Int64N,
+	}, state.Groups[groupName], h.clock.Now())
+	h.peers = newPeers(s.PeerPort, s.Address, log)
+	log.Info("state_opened", "incarnation", incarnation, "founding", s.Founding, "last_index", h.replica.Status().LastIndex,
+		"seeds", s.Seeds)
+	return h, nil
+}
+
+// begin draws the incarnation of an empty folder. Only the hosts that the deployment starts from are founding members:
+// a disk that was lost later must not pass for one that never held anything.
+func (h *Host) begin() (uint64, error) {
+	incarnation := rand.Uint64() | 2
+	if h.s.Founding && slices.Contains(h.s.Seeds, h.s.Address) {
+		incarnation = replica.FoundingIncarnation
+	}
+	return incarnation, eris.Wrap(h.store.Begin(incarnation), "writing the incarnation")
+}
+
+// Run drives the host until ctx ends, and returns early if the disk fails.
+func (h *Host) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return h.drive(ctx) })
+	g.Go(func() error { return h.writeRecords(ctx) })
+	err := g.Wait()
+	h.peers.close()
+	if closed := h.store.Close(); err == nil || errors.Is(err, context.Canceled) {
+		err = closed
+	}
+	return err
+}
+
+// now reads both clocks.
+func (h *Host) now() dispatch.Time {
+	return dispatch.Time{Mono: h.clock.Now(), WallMS: time.Now().UnixMilli()}
+}
+
+// wake makes the driving goroutine look for work.
+func (h *Host) wake() {
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Host) drive(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-h.kick:
+		}
+		if err := h.step(); err != nil {
+			return err
+		}
+	}
+}
+
+// step advances the log and, on the leader, the orders.
+func (h *Host) step() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	h.replica.Tick(now.Mono)
+	if err := h.pump(now); err != nil {
+		return err
+	}
+	h.lead(now)
+	if err := h.pump(now); err != nil {
+		return err
+	}
+	return h.compact()
+}
+
+// lead gives the orders of a leader, as long as its lease holds.
+func (h *Host) lead(now dispatch.Time) {
+	h.checkLeadership(now)
+	if h.leader == nil || !h.replica.Leads(now.Mono) {
+		return
+	}
+	h.reconsiderVoters(now)
+	out := h.leader.Tick(now)
+	for _, c := range out.Commands {
+		h.replica.Propose(now.Mono, c.Encode())
+	}
+	for _, c := range out.Calls {
+		go h.callWorker(c)
+	}
+}
+
+// checkLeadership begins a leadership once this host leads under a lease with all entries applied, and ends it with the
+// term.
+func (h *Host) checkLeadership(now dispatch.Time) {
+	st := h.replica.Role()
+	if h.leader != nil && (st != replica.Leader || h.replica.Term() != h.leaderTerm || h.leader.Deposed()) {
+		h.log.Info("leadership_ended", "term", h.leaderTerm, "new_term", h.replica.Term(), "deposed_by_worker", h.leader.Deposed())
+		h.leader = nil
+		h.failWaiters()
+	}
+	if h.leader == nil && st == replica.Leader && h.replica.Leads(now.Mono) && h.leaderTerm != h.replica.Term() {
+		h.leaderTerm = h.replica.Term()
+		o := h.s.Dispatch
+		o.Fence = h.leaderTerm
+		h.leader = dispatch.New(h.machine, o, now)
+		h.metrics.leaderships.Inc()
+		h.log.Info("leadership_began", "term", h.leaderTerm, "index", h.replica.Commit(), "open_jobs", len(h.machine.Open()),
+			"workers", len(h.machine.Workers()))
+	}
+}
+
+// failWaiters tells those who wait that the result is not known.
+func (h *Host) failWaiters() {
+	for index, w := range h.waiting {
+		close(w.result)
+		delete(h.waiting, index)
+	}
+}
+
+// callWorker carries one order out and passes the answer on.
+func (h *Host) callWorker(c dispatch.Call) {
+	reply := h.workers.Call(context.Background(), c)
+	h.metrics.workerCall(c.Kind, reply.Status)
+	h.mu.Lock()
+	if h.leader != nil && h.leaderTerm == c.Fence {
+		h.leader.Reply(h.now(), c.ID, reply)
+	}
+	h.mu.Unlock()
+	h.wake()
+}
+
+// reconsiderVoters adjusts the voters to the hosts that are there.
+func (h *Host) reconsiderVoters(now dispatch.Time) {
+	if now.Mono-h.reconsidered < reconsiderEvery {
+		return
+	}
+	h.reconsidered = now.Mono
+	st := h.replica.Status()
+	v := membership.View{
+		Self: h.s.Address, Voters: st.Config.Voters, Observers: h.replica.Observers(),
+		Silent: h.replica.SilentVoters(voterSilence), Target: membership.Target(h.s.Losses),
+	}
+	desired := membership.Desired(v)
+	h.replica.SetDesired(desired)
+	h.remember(st.Config, v.Observers)
+}
+
+// remember keeps the addresses of the hosts, because the seeds of the settings may all be gone one day.
+func (h *Host) remember(c replica.Config, observers []replica.ObserverView) {
+	known := slices.Clone(h.s.Seeds)
+	for _, m := range c.Voters {
+		known = append(known, m.Host)
+	}
+	for _, o := range observers {
+		known = append(known, o.Member.Host)
+	}
+	slices.Sort(known)
+	known = slices.Compact(known)
+	if !slices.Equal(known, h.known) {
+		h.log.Info("known_hosts_changed", "hosts", known, "voters", len(c.Voters))
+	}
+	h.known = known
+	h.replica.SetContacts(known)
+}
+
+// SetSeeds takes changed settings over.
+func (h *Host) SetSeeds(seeds []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.s.Seeds = seeds
+	h.remember(h.replica.Status().Config, h.replica.Observers())
+}
+
+// pump takes what the replica has produced, until it produces nothing more.
+func (h *Host) pump(now dispatch.Time) error {
+	out := h.replica.Take()
+	if out.Snapshot != nil {
+		if len(out.Snapshot.Data) > 0 {
+			if err := h.machine.Restore(out.Snapshot.Data); err != nil {
+				return err
+			}
+		}
+		h.remember(out.Snapshot.Config, nil)
+	}
+	for _, e := range out.Committed {
+		if err := h.apply(now, e); err != nil {
+			return err
+		}
+	}
+	messages := out.Messages
+	if out.Mark != 0 {
+		messages = h.sendEarly(out)
+		h.disk.put(diskWrite{records: out.Records, messages: messages, mark: out.Mark})
+		return nil
+	}
+	h.peers.send(messages)
+	return nil
+}
+
+// sendEarly sends the entries to the followers while the own disk syncs, which only needs the term to be durable. It
+// returns the messages that must wait.
+func (h *Host) sendEarly(out replica.Output) []replica.Message {
+	for _, r := range out.Records {
+		if r.Hard != nil {
+			return out.Messages
+		}
+	}
+	var early, late []replica.Message
+	for _, m := range out.Messages {
+		if m.Kind == replica.MsgAppend {
+			early = append(early, m)
+		} else {
+			late = append(late, m)
+		}
+	}
+	h.peers.send(early)
+	return late
+}
+
+// apply carries one committed entry out.
+func (h *Host) apply(now dispatch.Time, e replica.Entry) error {
+	w, waited := h.waiting[e.Index]
+	delete(h.waiting, e.Index)
+	var result domain.Result
+	switch e.Kind {
+	case replica.EntryCommand:
+		c, err := domain.DecodeCommand(e.Data)
+		if err != nil {
+			return err
+		}
+		result = h.machine.Apply(c)
+		if h.leader != nil {
+			h.leader.Applied(now, c, result)
+		}
+		h.logApplied(c, result, e.Index)
+	case replica.EntryConfig:
+		h.remember(h.replica.Status().Config, h.replica.Observers())
+	}
+	h.metrics.applied.Inc()
+	if waited {
+		w.result <- proposalResult{result: result, committed: w.term == e.Term}
+	}
+	return nil
+}
+
+// logApplied writes a line for what operators and callers have changed.
+func (h *Host) logApplied(c *domain.Command, r domain.Result, index uint64) {
+	switch {
+	case c.Config != nil:
+		h.log.Info("config_applied", "version", c.Config.Version, "changed", r == domain.Applied, "index", index)
+	case c.Zone != nil:
+		h.log.Info("zone_applied", "zone", c.Zone.Zone, "out", c.Zone.Out, "changed", r == domain.Applied, "index", index)
+	case c.Register != nil && h.leader != nil:
+		h.log.Info("worker_registered", "worker", c.Register.Life.ID, "born_ms", c.Register.Life.BornMS,
+			"address", c.Register.Address, "zone", c.Register.Zone, "draining", c.Register.Draining, "index", index)
+	case c.Forget != nil && h.leader != nil:
+		h.log.Info("worker_forgotten", "worker", c.Forget.Life.ID, "born_ms", c.Forget.Life.BornMS, "index", index)
+	}
+}
+
+// compact replaces a long log by a snapshot.
+func (h *Host) compact() error {
+	if !h.replica.NeedsSnapshot() {
+		return nil
+	}
+	h.replica.Compact(h.replica.Applied(), h.machine.Snapshot())
+	h.disk.replace(h.replica.State())
+	return nil
+}
+
+// address returns where a host listens for the other hosts.
+func peerAddress(host string, port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
--- /dev/null
+++ b/internal/corehost/peers.go
@@ -0,0 +1,143 @@
+package corehost
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/mustardwalk/mustardwalk/internal/replica"
+	"github.com/mustardwalk/mustardwalk/internal/rpc"
+)
+
+// Limits of the exchange with another host.
+const (
+	peerQueue   = 256                     // Messages that wait for one host; older ones are dropped, the log repeats them.
+	peerTimeout = 1500 * time.Millisecond // A batch without a receipt counts as lost, and its connection as dead.
+)
+
+// peers sends messages to the other hosts, over one connection each.
+type peers struct {
+	port   int
+	self   string
+	log    logr.Logger
+	client *http.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	senders map[string]*sender
+}
+
+// sender is the queue to one host.
+type sender struct {
+	mu     sync.Mutex
+	queue  []replica.Message
+	filled chan struct{}
+	lost   bool
+}
+
+func newPeers(port int, self string, log logr.Logger) *peers {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &peers{
+		port: port, self: self, log: log, client: rpc.NewClient(peerTimeout), ctx: ctx, cancel: cancel,
+		senders: map[string]*sender{},
+	}
+}
+
+func (p *peers) close() { p.cancel() }
+
+// send queues messages. It never blocks.
+func (p *peers) send(messages []replica.Message) {
+	for _, m := range messages {
+		s := p.sender(m.To)
+		s.mu.Lock()
+		if len(s.queue) >= peerQueue {
+			s.queue = slices.Delete(s.queue, 0, peerQueue/2)
+		}
+		s.queue = append(s.queue, m)
+		s.mu.Unlock()
+		select {
+		case s.filled <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (p *peers) sender(host string) *sender {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.senders[host]
+	if s == nil {
+		s = &sender{filled: make(chan struct{}, 1)}
+		p.senders[host] = s
+		go p.run(host, s)
+	}
+	return s
+}
+
+func (p *peers) run(host string, s *sender) {
+	client := rpc.NewPeerProtobufClient("http://"+peerAddress(host, p.port), p.client)
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-s.filled:
+		}
+		s.mu.Lock()
+		batch := s.queue
+		s.queue = nil
+		s.mu.Unlock()
+		if len(batch) > 0 {
+			p.deliver(client, host, s, batch)
+		}
+	}
+}
+
+func (p *peers) deliver(client rpc.Peer, host string, s *sender, batch []replica.Message) {
+	b := &rpc.Batch{From: p.self}
+	for i := range batch {
+		data, err := cbor.Marshal(&batch[i])
+		if err != nil {
+			p.log.Error(err, "peer_message_not_encoded", "to", host)
+			continue
+		}
+		b.Payloads = append(b.Payloads, data)
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, peerTimeout)
+	defer cancel()
+	_, err := client.Deliver(ctx, b)
+	if (err != nil) == s.lost || p.ctx.Err() != nil {
+		return
+	}
+	s.lost = err != nil
+	if s.lost {
+		p.log.Info("peer_lost", "host", host, "cause", err.Error())
+	} else {
+		p.log.Info("peer_regained", "host", host)
+	}
+}
+
+// Deliver takes messages of another host.
+func (h *Host) Deliver(_ context.Context, b *rpc.Batch) (*rpc.Receipt, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	for _, payload := range b.Payloads {
+		var m replica.Message
+		if err := cbor.Unmarshal(payload, &m); err != nil {
+			h.log.Info("peer_message_unreadable", "from", b.From, "cause", err.Error())
+			continue
+		}
+		h.replica.Step(now.Mono, m)
+	}
+	if err := h.pump(now); err != nil {
+		return nil, err
+	}
+	h.wake()
+	return &rpc.Receipt{}, nil
+}
--- /dev/null
+++ b/internal/corehost/serve.go
@@ -0,0 +1,211 @@
+package corehost
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/replica"
+	"github.com/mustardwalk/mustardwalk/internal/rpc"
+	"github.com/mustardwalk/mustardwalk/internal/service"
+)
+
+// commitTimeout bounds the wait for a proposal. After it, the outcome is not known.
+const commitTimeout = 2500 * time.Millisecond
+
+// propose appends a command and waits for its result. Committed is false when the outcome is not known. The caller
+// holds the lock, which is released meanwhile.
+func (h *Host) propose(ctx context.Context, now dispatch.Time, c *domain.Command) (r domain.Result, committed bool) {
+	c.AtMS = now.WallMS
+	index, term, ok := h.replica.Propose(now.Mono, c.Encode())
+	if !ok {
+		return 0, false
+	}
+	w := waiter{term: term, result: make(chan proposalResult, 1)}
+	h.waiting[index] = w
+	if err := h.pump(now); err != nil {
+		return 0, false
+	}
+	h.mu.Unlock()
+	defer h.mu.Lock()
+	select {
+	case p, open := <-w.result:
+		return p.result, open && p.committed
+	case <-time.After(commitTimeout):
+	case <-ctx.Done():
+	}
+	return 0, false
+}
+
+// leads tells whether this host may answer for the domain now.
+func (h *Host) leads(now dispatch.Time) bool {
+	return h.leader != nil && h.replica.Leads(now.Mono)
+}
+
+// Locate tells who leads.
+func (h *Host) Locate(context.Context, *rpc.LocateRequest) (*rpc.LocateReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	return &rpc.LocateReply{Leads: h.leads(now) && h.machine.Config() != nil, Leader: h.replica.Leader(), Hosts: h.known}, nil
+}
+
+// Call answers a caller's request on the leader.
+func (h *Host) Call(ctx context.Context, in *rpc.CallRequest) (*rpc.CallReply, error) {
+	req := service.Request{Kind: service.Kind(in.Kind), Host: in.Host, Path: in.Path, Key: in.Key, Trace: in.Trace}
+	if req.Kind == service.Submit {
+		req.Document = &domain.JobSpec{}
+		if err := cbor.Unmarshal(in.Document, req.Document); err != nil {
+			h.log.Info("call_unreadable", "request", in.Trace, "cause", err.Error())
+			return &rpc.CallReply{Verdict: uint32(service.Invalid)}, nil
+		}
+	}
+	a := h.answer(ctx, req)
+	return &rpc.CallReply{
+		Verdict: uint32(a.Verdict), State: uint32(a.State), Waiting: uint32(a.Waiting),
+		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), Leader: a.Leader,
+	}, nil
+}
+
+func (h *Host) answer(ctx context.Context, req service.Request) service.Answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	if !h.leads(now) {
+		return service.Answer{Verdict: service.NotLeader, Leader: h.otherLeader()}
+	}
+	a, change := h.decide(now, req)
+	if change != nil {
+		a = h.commitChange(ctx, now, change, a)
+	}
+	h.metrics.call(req.Kind, a.Verdict)
+	if req.Kind != service.State {
+		h.log.Info("call_answered", "request", req.Trace, "kind", req.Kind.String(), "verdict", a.Verdict.String(),
+			"config_version", h.version(), "term", h.leaderTerm)
+	}
+	return a
+}
+
+func (h *Host) version() int64 {
+	if c := h.machine.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// otherLeader returns the known leader, unless it is this host, which does not answer as one at present.
+func (h *Host) otherLeader() string {
+	if l := h.replica.Leader(); l != h.s.Address {
+		return l
+	}
+	return ""
+}
+
+// decide answers a request from the applied state. A change is to be committed before the answer holds.
+func (h *Host) decide(now dispatch.Time, req service.Request) (service.Answer, *domain.Command) {
+	a, change := service.Decide(h.machine, req)
+	if change != nil && h.stopping {
+		return service.Answer{Verdict: service.NotLeader}, nil
+	}
+	return a, change
+}
+
+// commitChange returns the answer once the change is committed.
+func (h *Host) commitChange(ctx context.Context, now dispatch.Time, c *domain.Command, a service.Answer) service.Answer {
+	if _, committed := h.propose(ctx, now, c); !committed {
+		return service.Answer{Verdict: service.Unknown}
+	}
+	return a
+}
+
+// Operate carries a call of an operator or a worker out, on the leader.
+func (h *Host) Operate(ctx context.Context, in *rpc.OperateRequest) (*rpc.OperateReply, error) {
+	op, err := decodeOperation(in)
+	if err != nil {
+		h.log.Info("operation_unreadable", "kind", in.Kind, "cause", err.Error())
+		return &rpc.OperateReply{Outcome: uint32(service.NotServing)}, nil
+	}
+	r := h.operate(ctx, op)
+	return &rpc.OperateReply{Outcome: uint32(r.Outcome), Document: r.Document, Leader: r.Leader}, nil
+}
+
+func (h *Host) operate(ctx context.Context, op service.Operation) service.Result {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	if !h.leads(now) {
+		leader := h.otherLeader()
+		if leader == "" {
+			return service.Result{Outcome: service.NotServing}
+		}
+		return service.Result{Outcome: service.Elsewhere, Leader: leader}
+	}
+	switch op.Kind {
+	case service.GetConfig:
+		c := h.machine.Config()
+		if c == nil {
+			return service.Result{Outcome: service.NotServing}
+		}
+		return service.Result{Outcome: service.Done, Document: c.Document}
+	case service.PutConfig:
+		if c := h.machine.Config(); c != nil && op.Config.Version <= c.Version {
+			return service.Result{Outcome: service.Done}
+		}
+		return h.commitOperation(ctx, now, &domain.Command{Config: op.Config})
+	case service.TakeZoneOut, service.BringZoneIn:
+		z := &domain.SetZone{Zone: op.Zone, Out: op.Kind == service.TakeZoneOut}
+		return h.commitOperation(ctx, now, &domain.Command{Zone: z})
+	case service.Register:
+		return h.register(ctx, now, op)
+	case service.Deregister:
+		return h.deregister(ctx, now, op)
+	}
+	return service.Result{Outcome: service.NotServing}
+}
+
+func (h *Host) commitOperation(ctx context.Context, now dispatch.Time, c *domain.Command) service.Result {
+	if _, committed := h.propose(ctx, now, c); !committed {
+		return service.Result{Outcome: service.Unclear}
+	}
+	return service.Result{Outcome: service.Done}
+}
+
+// register notes a worker's report. Only what changes the registration is committed.
+func (h *Host) register(ctx context.Context, now dispatch.Time, op service.Operation) service.Result {
+	r := service.Result{Outcome: service.Done}
+	if !h.machine.Registered(op.Worker) {
+		old := h.machine.Worker(op.Worker.Life.ID)
+		if old != nil && old.Life == op.Worker.Life && old.Draining {
+			op.Worker.Draining = true
+		}
+		r = h.commitOperation(ctx, now, &domain.Command{Register: op.Worker})
+	}
+	if w := h.machine.Worker(op.Worker.Life.ID); h.leader != nil && w != nil && w.Life == op.Worker.Life {
+		h.leader.Reported(now, w.Life, op.ClockMS)
+		h.wake()
+	}
+	return r
+}
+
+// deregister notes that a worker has ended.
+func (h *Host) deregister(ctx context.Context, now dispatch.Time, op service.Operation) service.Result {
+	w := h.machine.Worker(op.Worker.Life.ID)
+	if w == nil || (op.Worker.Life.BornMS != 0 && w.Life != op.Worker.Life) {
+		return service.Result{Outcome: service.Done}
+	}
+	return h.commitOperation(ctx, now, &domain.Command{Forget: &domain.ForgetWorker{Life: w.Life}})
+}
+
+// Stop prepares a planned stop: the leadership moves to another host, while this one goes on passing calls on.
+func (h *Host) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping = true
+	if h.replica.Role() == replica.Leader {
+		h.replica.Transfer(h.clock.Now(), "")
+	}
+	h.wake()
+}
--- /dev/null
+++ b/internal/dispatch/leader.go
@@ -0,0 +1,376 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// order is an attempt that may be present on a worker.
+type order struct {
+	task     domain.TaskID
+	attempt  int
+	life     domain.WorkerLife
+	begun    time.Duration // When this leader took the order over.
+	calls    int           // Starts or stops under way.
+	tries    int           // Starts sent.
+	next     time.Duration // Earliest time of the next start or stop.
+	started  bool          // The worker has confirmed the start, or lists the attempt.
+	ackedAt  time.Duration // When the worker confirmed the start or the stop.
+	stop     bool          // The attempt is to end.
+	why      string
+	stopped  bool // The worker has confirmed the stop, or that it will not run the attempt.
+	percent  int
+	progress time.Duration // When percent last rose.
+	saved    string
+}
+
+// stepKey names a step of an occurrence.
+type stepKey struct {
+	job        domain.JobID
+	occurrence int
+	step       int
+}
+
+func keyOf(t domain.TaskID) stepKey { return stepKey{t.Job, t.Occurrence, t.Step} }
+
+// Leader gives the orders of one leadership. It is not safe for concurrent use.
+type Leader struct {
+	o        Options
+	m        *domain.Machine
+	sessions map[string]*session
+	orders   map[domain.TaskID]*order
+	calls    map[uint64]pending
+	lastCall uint64
+	ready    map[stepKey]int64 // When a step was first seen ready, Unix milliseconds.
+	chains   map[domain.JobID]int64
+	planning bool // A command with starts is under way.
+	dirty    bool
+	planAt   time.Duration
+	purgeAt  time.Duration
+	deposed  bool
+	out      Output
+}
+
+// pending is a call under way.
+type pending struct {
+	call Call
+	sent time.Duration
+}
+
+// New begins a leadership over the applied state.
+func New(m *domain.Machine, o Options, now Time) *Leader {
+	l := &Leader{
+		o:        o,
+		m:        m,
+		sessions: map[string]*session{},
+		orders:   map[domain.TaskID]*order{},
+		calls:    map[uint64]pending{},
+		ready:    map[stepKey]int64{},
+		chains:   map[domain.JobID]int64{},
+		dirty:    true,
+	}
+	for _, w := range m.Workers() {
+		s := l.session(w.Life, now)
+		for id, attempt := range w.Attempts() {
+			l.adopt(id, attempt, w.Life, now)
+			s.look = true
+		}
+	}
+	return l
+}
+
+func (l *Leader) adopt(id domain.TaskID, attempt int, life domain.WorkerLife, now Time) *order {
+	x := &order{task: id, attempt: attempt, life: life, begun: now.Mono, progress: now.Mono, percent: -1}
+	l.orders[id] = x
+	return x
+}
+
+func (l *Leader) session(life domain.WorkerLife, now Time) *session {
+	s := l.sessions[life.ID]
+	if s == nil || s.life != life {
+		s = &session{life: life, created: now.Mono, heard: now.Mono, reported: now.Mono}
+		l.sessions[life.ID] = s
+	}
+	return s
+}
+
+// Deposed tells whether a worker has refused an order of this leader in favour of a newer one.
+func (l *Leader) Deposed() bool { return l.deposed }
+
+// Reported notes a report of a worker that is registered.
+func (l *Leader) Reported(now Time, life domain.WorkerLife, clockMS int64) {
+	s := l.session(life, now)
+	s.reported = now.Mono
+	s.learnClock(now.Mono, clockMS)
+}
+
+// Applied follows a command that has been applied.
+func (l *Leader) Applied(now Time, c *domain.Command, r domain.Result) {
+	l.dirty = true
+	switch {
+	case c.Start != nil:
+		l.planning = false
+		for _, a := range c.Start.Assignments {
+			l.begin(now, a)
+		}
+	case c.End != nil:
+		if s := l.sessions[c.End.Worker.ID]; s != nil && s.life == c.End.Worker {
+			s.ending = false
+			s.nextHold = now.Mono
+		}
+		for _, e := range c.End.Ends {
+			l.conclude(now, e.Task)
+		}
+	case c.Cancel != nil:
+		l.stopJob(c.Cancel.Job, "cancelled")
+	case c.Register != nil, c.Forget != nil:
+		l.sweep()
+	}
+}
+
+// begin takes a committed start over.
+func (l *Leader) begin(now Time, a domain.Assignment) {
+	j := l.m.Job(a.Task.Job)
+	t := j.Task(a.Task)
+	if t.Worker != a.Worker || l.orders[a.Task] != nil {
+		return
+	}
+	l.adopt(a.Task, t.Attempt, a.Worker, now)
+	l.o.Log("attempt_begun", "job", a.Task.Job, "task", a.Task.String(), "attempt", t.Attempt, "worker", a.Worker.ID,
+		"waited_ms", now.WallMS-j.AcceptedMS, "failed_before", t.Failed)
+}
+
+// conclude drops the order of a task that is on no worker any more, and stops what is left of a job that has ended.
+func (l *Leader) conclude(now Time, id domain.TaskID) {
+	j := l.m.Job(id.Job)
+	if j == nil || !j.Task(id).Occupied() {
+		delete(l.orders, id)
+	}
+	if j == nil {
+		return
+	}
+	if j.State.Final() {
+		if j.State != domain.JobCompleted { // The members of a gang that is done end by themselves.
+			l.stopJob(id.Job, j.State.String())
+		}
+		l.o.Log("job_ended", "job", id.Job, "state", j.State.String(), "age_ms", now.WallMS-j.AcceptedMS)
+		l.forgetJob(j)
+	} else if t := j.Task(id); !t.Occupied() && !t.Done {
+		l.ready[keyOf(id)] = now.WallMS
+	}
+}
+
+func (l *Leader) forgetJob(j *domain.Job) {
+	delete(l.chains, j.Spec.ID)
+	for k := range j.Occurrences {
+		for s := range j.Spec.Steps {
+			delete(l.ready, stepKey{j.Spec.ID, k, s})
+		}
+	}
+}
+
+func (l *Leader) stopJob(id domain.JobID, why string) {
+	for t, x := range l.orders {
+		if t.Job == id {
+			x.want(why)
+		}
+	}
+}
+
+// want asks for the end of an attempt.
+func (x *order) want(why string) {
+	if !x.stop {
+		x.stop = true
+		x.why = why
+		x.next = 0
+		x.tries = 0
+	}
+}
+
+// sweep drops orders and sessions of lifetimes that are over.
+func (l *Leader) sweep() {
+	for id, x := range l.orders {
+		j := l.m.Job(id.Job)
+		if j == nil || !j.Task(id).Occupied() || j.Task(id).Worker != x.life {
+			delete(l.orders, id)
+		}
+	}
+	for id, s := range l.sessions {
+		if w := l.m.Worker(id); w == nil || w.Life != s.life {
+			delete(l.sessions, id)
+		}
+	}
+}
+
+// Tick advances the orders and returns what is to be done.
+func (l *Leader) Tick(now Time) Output {
+	l.watchGangs(now)
+	l.watchProgress(now)
+	l.lapse(now)
+	l.release(now)
+	l.plan(now)
+	l.sendOrders(now)
+	l.sendHolds(now)
+	l.housekeeping(now)
+	out := l.out
+	l.out = Output{}
+	return out
+}
+
+func (l *Leader) propose(now Time, c domain.Command) {
+	c.AtMS = now.WallMS
+	l.out.Commands = append(l.out.Commands, &c)
+}
+
+func (l *Leader) call(now Time, w *domain.Worker, c Call) {
+	l.lastCall++
+	c.ID = l.lastCall
+	c.Worker = w.Life
+	c.Address = w.Address
+	c.Fence = l.o.Fence
+	l.calls[c.ID] = pending{c, now.Mono}
+	l.out.Calls = append(l.out.Calls, c)
+}
+
+// Limits of the search for attempts that do not get going or stand still.
+const (
+	// gangStartLimit is the share of the members' wait for each other after which a gang that is not complete is
+	// stopped, so that the others do not end as alone.
+	gangStartLimit = 0.5
+	// stallLimit is how long an attempt may show no progress. Looks come every two seconds and show whole percents.
+	stallLimit = 5 * time.Second
+)
+
+// watchGangs stops the gangs of which a member did not start in time.
+func (l *Leader) watchGangs(now Time) {
+	limit := time.Duration(float64(l.o.GangWait) * gangStartLimit)
+	for id, x := range l.orders {
+		if x.started || x.stop || now.Mono-x.begun < limit {
+			continue
+		}
+		j := l.m.Job(id.Job)
+		if j != nil && j.Spec.Steps[id.Step].Gang {
+			l.stopGang(id, "a member did not start in time")
+		}
+	}
+}
+
+// stopGang asks for the end of all members of an attempt.
+func (l *Leader) stopGang(id domain.TaskID, why string) {
+	for t, x := range l.orders {
+		if keyOf(t) == keyOf(id) {
+			x.want(why)
+		}
+	}
+}
+
+// watchProgress stops attempts that stand still. A gang ends as a whole.
+func (l *Leader) watchProgress(now Time) {
+	for id, x := range l.orders {
+		if !x.started || x.stop || now.Mono-x.progress < stallLimit {
+			continue
+		}
+		s := l.sessions[x.life.ID]
+		if s == nil || now.Mono-s.heard > stallLimit/2 {
+			x.progress = now.Mono // Not observed; the lease decides about a silent worker.
+			continue
+		}
+		j := l.m.Job(id.Job)
+		if j == nil || j.Spec.Steps[id.Step].LongRunning {
+			continue
+		}
+		s.blame(now.Mono)
+		if j.Spec.Steps[id.Step].Gang {
+			l.stopGang(id, "no progress")
+		} else {
+			x.want("no progress")
+		}
+	}
+}
+
+// Times for which a worker is avoided after failures.
+const (
+	avoidFirst = 2500 * time.Millisecond // About one short task.
+	avoidMost  = 10 * time.Second
+)
+
+// blame avoids a worker for a while, twice as long after each further failure.
+func (s *session) blame(now time.Duration) {
+	s.failed++
+	s.avoidUntil = now + min(avoidMost, avoidFirst<<min(s.failed-1, 4))
+}
+
+// lapse concludes that a worker runs nothing any more once all leases that it can hold are over.
+func (l *Leader) lapse(now Time) {
+	for _, s := range l.sessions {
+		w := l.m.Worker(s.life.ID)
+		if w == nil || w.Life != s.life || len(w.Attempts()) == 0 || s.ending || !s.silent(now.Mono) {
+			continue
+		}
+		if now.Mono < s.leaseOver(l.o.Lease) {
+			continue
+		}
+		var ends []domain.AttemptEnd
+		for id, attempt := range w.Attempts() {
+			e := domain.AttemptEnd{Task: id, Attempt: attempt, Outcome: domain.OutcomeLost}
+			if x := l.orders[id]; x != nil {
+				e.Saved = x.saved
+			}
+			ends = append(ends, e)
+		}
+		slices.SortFunc(ends, func(a, b domain.AttemptEnd) int { return strings.Compare(a.Task.String(), b.Task.String()) })
+		s.ending = true
+		l.o.Log("leases_over", "worker", s.life.ID, "attempts", len(ends), "silent_ms", (now.Mono - s.heard).Milliseconds())
+		l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.life, Ends: ends}})
+	}
+}
+
+// release makes occurrences due.
+func (l *Leader) release(now Time) {
+	for id, j := range l.m.Open() {
+		n := len(j.Occurrences)
+		if j.Spec.RepeatCount == 0 || n >= j.Spec.Occurrences() {
+			continue
+		}
+		limit := now.WallMS + l.o.Early.Milliseconds()
+		due := n
+		for due < j.Spec.Occurrences() && j.Spec.DueMS(due) <= limit {
+			due++
+		}
+		if due > n && !l.releasing(id) {
+			l.ready[stepKey{id, -1, due}] = now.WallMS
+			l.propose(now, domain.Command{Release: &domain.ReleaseOccur{Job: id, Count: due}})
+		}
+	}
+}
+
+// releasing tells whether a command for the next occurrences may still be under way. Its key marks it in ready.
+func (l *Leader) releasing(id domain.JobID) bool {
+	j := l.m.Job(id)
+	_, marked := l.ready[stepKey{id, -1, len(j.Occurrences) + 1}]
+	return marked
+}
+
+// forgetAfter is how long a worker without attempts may be silent before it is forgotten: it then registers anew.
+const forgetAfter = 30 * time.Second
+
+// purgeEvery is the period of dropping ended jobs.
+const purgeEvery = 15 * time.Second
+
+func (l *Leader) housekeeping(now Time) {
+	for id, s := range l.sessions {
+		w := l.m.Worker(id)
+		quiet := now.Mono-max(s.heard, s.reported) > forgetAfter
+		if w != nil && w.Life == s.life && quiet && len(w.Attempts()) == 0 && !s.released {
+			s.released = true
+			l.propose(now, domain.Command{Forget: &domain.ForgetWorker{Life: s.life}})
+		}
+	}
+	if now.Mono >= l.purgeAt {
+		l.purgeAt = now.Mono + purgeEvery
+		l.propose(now, domain.Command{Purge: &domain.PurgeEndedJobs{BeforeMS: now.WallMS - l.o.Retention.Milliseconds()}})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/plan.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/placement"
+)
+
+// planEvery is the longest pause between two plans while work waits; events make one at once.
+const planEvery = 100 * time.Millisecond
+
+// hopelessFactor: a job earns nothing after this many times its objective (RULES, "Credit").
+const hopelessFactor = 3
+
+// plan starts what can start and makes room for urgent work. One plan is under way at a time, so that no capacity is
+// given away twice.
+func (l *Leader) plan(now Time) {
+	if l.planning || (!l.dirty && now.Mono < l.planAt) {
+		return
+	}
+	l.dirty = false
+	l.planAt = now.Mono + planEvery
+	units := l.units(now)
+	if len(units) == 0 {
+		return
+	}
+	v := &placement.View{NowMS: now.WallMS, Units: units, Workers: l.workers(now), PerWorker: l.perWorker}
+	p := placement.Decide(v)
+	for _, s := range p.Stops {
+		if x := l.orders[s.Task]; x != nil && !x.stop {
+			l.o.Log("attempt_reclaimed", "job", s.Task.Job, "task", s.Task.String(), "attempt", x.attempt, "worker", x.life.ID,
+				"for_job", s.For.Job)
+			l.abandon(x, "reclaimed for "+string(s.For.Job))
+		}
+	}
+	if len(p.Starts) == 0 {
+		return
+	}
+	l.planning = true
+	var all domain.StartAttempts
+	for _, s := range p.Starts {
+		all.Assignments = append(all.Assignments, s.Assignments...)
+	}
+	l.propose(now, domain.Command{Start: &all})
+}
+
+// units returns the work that waits.
+func (l *Leader) units(now Time) []*placement.Unit {
+	var out []*placement.Unit
+	for _, j := range l.m.Open() {
+		for k, o := range j.Occurrences {
+			if o.Done {
+				continue
+			}
+			for s := range o.Steps {
+				if u := l.unit(now, j, k, s); u != nil {
+					out = append(out, u)
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *placement.Unit) int {
+		return cmp.Or(cmp.Compare(a.Job.Sequence, b.Job.Sequence), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
+	})
+	l.coverByGuarantees(out)
+	return out
+}
+
+// unit returns the waiting tasks of a step, nil if none can start.
+func (l *Leader) unit(now Time, j *domain.Job, k, s int) *placement.Unit {
+	o := j.Occurrences[k]
+	step := &j.Spec.Steps[s]
+	var waiting []int
+	for i := range o.Steps[s] {
+		t := &o.Steps[s][i]
+		if !t.Done && !t.Occupied() {
+			waiting = append(waiting, i)
+		}
+	}
+	if len(waiting) == 0 || (step.Gang && len(waiting) < step.Count) || !j.Ready(o, s) {
+		return nil
+	}
+	key := stepKey{j.Spec.ID, k, s}
+	since, seen := l.ready[key]
+	if !seen {
+		since = now.WallMS
+		l.ready[key] = since
+	}
+	base := j.AcceptedMS
+	if j.Spec.RepeatCount > 0 {
+		base = j.Spec.DueMS(k)
+	}
+	objective := int64(j.Spec.Stretch*float64(l.chain(j))) + j.Spec.TargetMS
+	return &placement.Unit{
+		Job: j, Occurrence: k, Step: s, Indexes: waiting,
+		WaitedMS: now.WallMS - since,
+		DueMS:    base + objective,
+		Hopeless: now.WallMS > base+hopelessFactor*objective,
+	}
+}
+
+// chain returns the longest chain of declared run times of a job, in milliseconds.
+func (l *Leader) chain(j *domain.Job) int64 {
+	if c, known := l.chains[j.Spec.ID]; known {
+		return c
+	}
+	ends := make([]int64, len(j.Spec.Steps))
+	longest := int64(0)
+	for i, s := range j.Spec.Steps {
+		for _, d := range s.DependsOn {
+			ends[i] = max(ends[i], ends[d])
+		}
+		ends[i] += s.EstimateMS
+		longest = max(longest, ends[i])
+	}
+	l.chains[j.Spec.ID] = longest
+	return longest
+}
+
+// coverByGuarantees marks the urgent units of each workspace whose jobs fit into its guarantee, in the order of
+// acceptance.
+func (l *Leader) coverByGuarantees(units []*placement.Unit) {
+	need := map[string]int64{}
+	covered := map[domain.JobID]bool{}
+	var urgent []*domain.Job
+	for _, j := range l.m.Open() {
+		if j.Spec.Priority == 0 && len(j.Occurrences) > 0 {
+			urgent = append(urgent, j)
+		}
+	}
+	slices.SortFunc(urgent, func(a, b *domain.Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	for _, j := range urgent {
+		need[j.Spec.Workspace] += accelerators(j)
+		covered[j.Spec.ID] = need[j.Spec.Workspace] <= l.m.Guarantee(j.Spec.Workspace)
+	}
+	for _, u := range units {
+		u.MayReclaim = covered[u.Job.Spec.ID]
+	}
+}
+
+// accelerators returns what a job needs at once if all its steps ran together, a bound of its real need.
+func accelerators(j *domain.Job) int64 {
+	var n int64
+	for i := range j.Spec.Steps {
+		n += int64(j.Spec.Steps[i].Count) * j.Spec.Steps[i].Task.Accelerators
+	}
+	return n
+}
+
+// perWorker counts the tasks of a unit's step on a worker.
+func (l *Leader) perWorker(u *placement.Unit, w *placement.Worker) int {
+	x := l.m.Worker(w.Life.ID)
+	if x == nil {
+		return 0
+	}
+	n := 0
+	for id := range x.Attempts() {
+		if keyOf(id) == (stepKey{u.Job.Spec.ID, u.Occurrence, u.Step}) {
+			n++
+		}
+	}
+	return n
+}
+
+// workers returns the workers in a fixed order.
+func (l *Leader) workers(now Time) []*placement.Worker {
+	ids := make([]string, 0, len(l.m.Workers()))
+	for id := range l.m.Workers() {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	out := make([]*placement.Worker, 0, len(ids))
+	for _, id := range ids {
+		w := l.m.Worker(id)
+		p := &placement.Worker{
+			Life: w.Life, Pool: w.Pool, Zone: w.Zone, Rack: w.Rack, Labels: w.Labels, Free: w.Free(), Usable: l.usable(now, w),
+		}
+		if p.Usable {
+			p.Tasks = l.running(now, w)
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// usable tells whether new attempts may go to a worker.
+func (l *Leader) usable(now Time, w *domain.Worker) bool {
+	s := l.sessions[w.Life.ID]
+	return s != nil && s.life == w.Life && !s.released && !w.Draining && !l.m.ZoneOut(w.Zone) &&
+		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil &&
+		now.Mono-max(s.heard, s.reported) < 2*l.o.Report+l.o.Report/2
+}
+
+func (l *Leader) running(now Time, w *domain.Worker) []placement.Running {
+	out := make([]placement.Running, 0, len(w.Attempts()))
+	for id := range w.Attempts() {
+		j := l.m.Job(id.Job)
+		x := l.orders[id]
+		step := &j.Spec.Steps[id.Step]
+		ran := now.WallMS - j.Task(id).Started
+		if step.Checkpointable {
+			ran = min(ran, 2000)
+		}
+		out = append(out, placement.Running{
+			Task: id, Demand: step.Demand(), Priority: j.Spec.Priority, Gang: step.Gang,
+			Stopping: x == nil || x.stop, UnsavedS: ran / 1000,
+		})
+	}
+	slices.SortFunc(out, func(a, b placement.Running) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
+	return out
+}
--- /dev/null
+++ b/internal/domain/apply_attempt.go
@@ -0,0 +1,149 @@
+package domain
+
+import "slices"
+
+// maxFailedOn bounds the list of workers on which a task failed.
+const maxFailedOn = 8
+
+// applyStart begins attempts. An assignment whose task or worker has changed since the plan was made is left out; the
+// members of a gang are left out together.
+func (m *Machine) applyStart(s *StartAttempts, at int64) Result {
+	dropped := map[TaskID]bool{}
+	for _, a := range s.Assignments {
+		if !m.startable(a) {
+			dropped[stepOf(a.Task)] = true
+		}
+	}
+	result := NotChanged
+	for _, a := range s.Assignments {
+		j := m.open[a.Task.Job]
+		if !m.startable(a) || (j.Spec.Steps[a.Task.Step].Gang && dropped[stepOf(a.Task)]) {
+			continue
+		}
+		t := j.Task(a.Task)
+		t.Attempt = m.nextAttempt(j, a.Task)
+		t.Worker = a.Worker
+		t.Started = at
+		m.occupy(a.Task, j, t)
+		if j.State == JobPending {
+			j.State = JobRunning
+		}
+		result = Applied
+	}
+	return result
+}
+
+// stepOf returns the identifier of the first task of a step; the gang's shared values are kept there.
+func stepOf(id TaskID) TaskID {
+	id.Index = 0
+	return id
+}
+
+// nextAttempt returns the number of the attempt that begins. The first member of a gang to begin draws a new number for
+// all: the highest one so far, plus one.
+func (m *Machine) nextAttempt(j *Job, id TaskID) int {
+	tasks := j.Occurrences[id.Occurrence].Steps[id.Step]
+	if !j.Spec.Steps[id.Step].Gang {
+		return tasks[id.Index].Attempt + 1
+	}
+	highest, present := 0, 0
+	for i := range tasks {
+		highest = max(highest, tasks[i].Attempt)
+		if tasks[i].Occupied() {
+			present = max(present, tasks[i].Attempt)
+		}
+	}
+	if present > 0 {
+		return present
+	}
+	return highest + 1
+}
+
+func (m *Machine) startable(a Assignment) bool {
+	j := m.open[a.Task.Job]
+	if j == nil {
+		return false
+	}
+	t := j.Task(a.Task)
+	w := m.state.Workers[a.Worker.ID]
+	return t != nil && !t.Done && !t.Occupied() && w != nil && w.Life == a.Worker && !w.Draining &&
+		!m.state.ZonesOut[w.Zone] && j.Ready(j.Occurrences[a.Task.Occurrence], a.Task.Step)
+}
+
+func (m *Machine) applyEnds(e *EndAttempts, at int64) Result {
+	w := m.state.Workers[e.Worker.ID]
+	if w == nil || w.Life != e.Worker {
+		return NotFound
+	}
+	w.Cursor = max(w.Cursor, e.Cursor)
+	for _, x := range e.Ends {
+		m.endAttempt(e.Worker, x, at)
+	}
+	return Applied
+}
+
+// endAttempt records the end of one attempt. Ends of older attempts only change what their outcome still can: an
+// attempt that ended as done before a newer one began counts as done.
+func (m *Machine) endAttempt(life WorkerLife, x AttemptEnd, at int64) {
+	j := m.state.Jobs[x.Task.Job]
+	if j == nil {
+		return
+	}
+	t := j.Task(x.Task)
+	if t == nil || t.Attempt != x.Attempt || t.Worker != life {
+		return
+	}
+	m.vacate(x.Task, j, t)
+	if x.Saved != "" {
+		t.Saved = x.Saved
+	}
+	defer m.leaveBusy(j)
+	if j.State.Final() || t.Done {
+		return
+	}
+	switch x.Outcome {
+	case OutcomeDone:
+		m.finishTask(j, x.Task)
+		m.settle(j, x.Task.Occurrence, at)
+	case OutcomeFailed:
+		m.failTask(j, x.Task, life.ID, at)
+	}
+}
+
+// leaveBusy drops an ended job from the list of those with attempts on workers.
+func (m *Machine) leaveBusy(j *Job) {
+	if j.State.Final() && m.busyEnded[j.Spec.ID] != nil && !j.busy() {
+		delete(m.busyEnded, j.Spec.ID)
+	}
+}
+
+// finishTask marks a task done. The end of one member of a gang stands for all members of the attempt; they stay
+// counted on their workers until these list their own ends.
+func (m *Machine) finishTask(j *Job, id TaskID) {
+	tasks := j.Occurrences[id.Occurrence].Steps[id.Step]
+	if !j.Spec.Steps[id.Step].Gang {
+		tasks[id.Index].Done = true
+		return
+	}
+	for i := range tasks {
+		tasks[i].Done = true
+	}
+}
+
+// failTask counts a failed attempt. A job fails once a task, or a gang as a whole, has used up its attempts. Tasks that
+// run until the job is cancelled have no such limit.
+func (m *Machine) failTask(j *Job, id TaskID, worker string, at int64) {
+	step := &j.Spec.Steps[id.Step]
+	tasks := j.Occurrences[id.Occurrence].Steps[id.Step]
+	holder := &tasks[id.Index]
+	if step.Gang {
+		holder = &tasks[0]
+	}
+	holder.Failed++
+	if !slices.Contains(holder.FailedOn, worker) && len(holder.FailedOn) < maxFailedOn {
+		holder.FailedOn = append(holder.FailedOn, worker)
+	}
+	if !step.LongRunning && holder.Failed >= j.Spec.MaxAttempts {
+		m.endJob(j, JobFailed, at)
+	}
+}
--- /dev/null
+++ b/internal/domain/machine.go
@@ -0,0 +1,267 @@
+package domain
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Result tells the proposer of a command what it did.
+type Result uint8
+
+// Results.
+const (
+	Applied    Result = iota
+	NotChanged        // The command repeats an earlier one, or was overtaken.
+	NotFound
+)
+
+// Machine is the state machine. It is not safe for concurrent use.
+type Machine struct {
+	state state
+	index configIndex
+	open  map[JobID]*Job // Derived: jobs that have not ended.
+	// busyEnded holds ended jobs of which attempts may still be present on workers.
+	busyEnded map[JobID]*Job
+}
+
+// state is what a snapshot holds.
+type state struct {
+	Config   *Config            `cbor:"1,keyasint,omitempty"`
+	ZonesOut map[string]bool    `cbor:"2,keyasint,omitempty"`
+	Jobs     map[JobID]*Job     `cbor:"3,keyasint,omitempty"`
+	Workers  map[string]*Worker `cbor:"4,keyasint,omitempty"`
+	Sequence uint64             `cbor:"5,keyasint,omitempty"`
+}
+
+// New returns an empty machine.
+func New() *Machine {
+	m := &Machine{}
+	m.load(state{})
+	return m
+}
+
+// Restore replaces the state by a snapshot.
+func (m *Machine) Restore(snapshot []byte) error {
+	var s state
+	if err := cbor.Unmarshal(snapshot, &s); err != nil {
+		return eris.Wrap(err, "decoding a snapshot of the domain")
+	}
+	m.load(s)
+	return nil
+}
+
+// Snapshot returns the encoded state.
+func (m *Machine) Snapshot() []byte {
+	data, err := cbor.Marshal(m.state)
+	if err != nil {
+		panic(eris.Wrap(err, "encoding a snapshot of the domain"))
+	}
+	return data
+}
+
+// load takes a state over and derives the indexes.
+func (m *Machine) load(s state) {
+	if s.ZonesOut == nil {
+		s.ZonesOut = map[string]bool{}
+	}
+	if s.Jobs == nil {
+		s.Jobs = map[JobID]*Job{}
+	}
+	if s.Workers == nil {
+		s.Workers = map[string]*Worker{}
+	}
+	m.state = s
+	m.open = map[JobID]*Job{}
+	m.busyEnded = map[JobID]*Job{}
+	m.indexConfig()
+	for _, w := range s.Workers {
+		w.attempts = map[TaskID]int{}
+	}
+	for id, j := range s.Jobs {
+		if !j.State.Final() {
+			m.open[id] = j
+		}
+		m.indexAttempts(id, j)
+	}
+}
+
+func (m *Machine) indexAttempts(id JobID, j *Job) {
+	for k, o := range j.Occurrences {
+		for s := range o.Steps {
+			for i := range o.Steps[s] {
+				t := &o.Steps[s][i]
+				if !t.Occupied() {
+					continue
+				}
+				m.occupy(TaskID{id, k, s, i}, j, t)
+				if j.State.Final() {
+					m.busyEnded[id] = j
+				}
+			}
+		}
+	}
+}
+
+// occupy counts an attempt on its worker.
+func (m *Machine) occupy(id TaskID, j *Job, t *Task) {
+	if w := m.state.Workers[t.Worker.ID]; w != nil && w.Life == t.Worker {
+		w.attempts[id] = t.Attempt
+		w.used = w.used.Plus(j.Spec.Steps[id.Step].Demand())
+	}
+}
+
+// vacate ends the presence of an attempt on its worker.
+func (m *Machine) vacate(id TaskID, j *Job, t *Task) {
+	if w := m.state.Workers[t.Worker.ID]; w != nil && w.Life == t.Worker {
+		if _, present := w.attempts[id]; present {
+			delete(w.attempts, id)
+			w.used = w.used.Minus(j.Spec.Steps[id.Step].Demand())
+		}
+	}
+	t.Worker = WorkerLife{}
+}
+
+func (m *Machine) indexConfig() {
+	x := configIndex{
+		byKey:  map[string]string{},
+		byHost: map[string][]Queue{},
+		pools:  map[string]Pool{},
+		spaces: map[string]Workspace{},
+	}
+	if c := m.state.Config; c != nil {
+		for _, q := range c.Queues {
+			x.byHost[q.Host] = append(x.byHost[q.Host], q)
+		}
+		for _, list := range x.byHost {
+			slices.SortFunc(list, func(a, b Queue) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+		}
+		for _, p := range c.Pools {
+			x.pools[p.Name] = p
+		}
+		for _, w := range c.Workspaces {
+			x.spaces[w.Name] = w
+			for _, k := range w.Keys {
+				x.byKey[k] = w.Name
+			}
+		}
+	}
+	m.index = x
+}
+
+// Apply carries a committed command out.
+func (m *Machine) Apply(c *Command) Result {
+	switch {
+	case c.Config != nil:
+		return m.applyConfig(c.Config)
+	case c.Zone != nil:
+		return m.applyZone(c.Zone)
+	case c.Submit != nil:
+		return m.applySubmit(c.Submit, c.AtMS)
+	case c.Cancel != nil:
+		return m.applyCancel(c.Cancel.Job, c.AtMS)
+	case c.Register != nil:
+		return m.applyRegister(c.Register)
+	case c.Forget != nil:
+		return m.applyForget(c.Forget.Life, c.AtMS)
+	case c.Start != nil:
+		return m.applyStart(c.Start, c.AtMS)
+	case c.End != nil:
+		return m.applyEnds(c.End, c.AtMS)
+	case c.Release != nil:
+		return m.applyRelease(c.Release)
+	case c.Purge != nil:
+		return m.applyPurge(c.Purge.BeforeMS)
+	}
+	return NotChanged
+}
+
+func (m *Machine) applyConfig(c *Config) Result {
+	if m.state.Config != nil && c.Version <= m.state.Config.Version {
+		return NotChanged
+	}
+	m.state.Config = c
+	m.indexConfig()
+	return Applied
+}
+
+func (m *Machine) applyZone(z *SetZone) Result {
+	if m.state.ZonesOut[z.Zone] == z.Out {
+		return NotChanged
+	}
+	if z.Out {
+		m.state.ZonesOut[z.Zone] = true
+	} else {
+		delete(m.state.ZonesOut, z.Zone)
+	}
+	return Applied
+}
+
+// Config returns the configuration in force, nil before the first one.
+func (m *Machine) Config() *Config { return m.state.Config }
+
+// QueueFor returns the queue of a host and path: the one with the longest prefix of the path.
+func (m *Machine) QueueFor(host, path string) (Queue, bool) {
+	for _, q := range m.index.byHost[host] {
+		if strings.HasPrefix(path, q.PathPrefix) {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
+
+// WorkspaceOf returns the workspace that holds a key.
+func (m *Machine) WorkspaceOf(key string) (string, bool) {
+	w, ok := m.index.byKey[key]
+	return w, ok
+}
+
+// Guarantee returns the accelerators that a workspace can always reclaim for jobs of priority 0.
+func (m *Machine) Guarantee(workspace string) int64 {
+	return m.index.spaces[workspace].GuaranteedAccelerators
+}
+
+// ZoneOut tells whether a zone is out of service.
+func (m *Machine) ZoneOut(zone string) bool { return m.state.ZonesOut[zone] }
+
+// ZonesOut returns the zones that are out of service, sorted.
+func (m *Machine) ZonesOut() []string {
+	var out []string
+	for z := range m.state.ZonesOut {
+		out = append(out, z)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Job returns an accepted job, nil if there is none.
+func (m *Machine) Job(id JobID) *Job { return m.state.Jobs[id] }
+
+// Jobs returns the number of jobs held, ended ones included.
+func (m *Machine) Jobs() int { return len(m.state.Jobs) }
+
+// Open returns the jobs that have not ended, by identifier. The map must not be changed.
+func (m *Machine) Open() map[JobID]*Job { return m.open }
+
+// BusyEnded returns the ended jobs of which attempts may be present on workers. The map must not be changed.
+func (m *Machine) BusyEnded() map[JobID]*Job { return m.busyEnded }
+
+// Worker returns a worker by identifier, nil if there is none.
+func (m *Machine) Worker(id string) *Worker { return m.state.Workers[id] }
+
+// Workers returns the workers by identifier. The map must not be changed.
+func (m *Machine) Workers() map[string]*Worker { return m.state.Workers }
+
+// Waiting returns the number of jobs of a queue of which no task has started.
+func (m *Machine) Waiting(queue string) int {
+	n := 0
+	for _, j := range m.open {
+		if j.Spec.Queue == queue && j.State == JobPending {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/placement/decide.go
@@ -0,0 +1,185 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// How long a unit insists on the rack of its data, or a gang on one rack, before it takes the slow way. Away from its
+// data a task takes FarFactor times as long, so that waiting up to twice its run time is still faster.
+const (
+	farFactor          = 3    // bounds far_x of the deployments.
+	urgentRackWaitMS   = 1500 // Of the 3.4 s within which urgent work must begin, so that a stop still fits.
+	reclaimAfterWaitMS = 60   // Urgent work reclaims nearly at once; a stop takes up to 0.9 s.
+)
+
+// slot is the mutable side of a worker during one decision.
+type slot struct {
+	*Worker
+	free   domain.Resources // What can be started on now.
+	future domain.Resources // free, plus what is being stopped.
+	placed map[*Unit]int
+}
+
+type decision struct {
+	view  *View
+	slots []*slot
+	racks map[string][]*slot
+	plan  Plan
+	gone  map[domain.TaskID]bool // Attempts that this plan stops.
+}
+
+// Decide returns what to start and stop.
+func Decide(v *View) Plan {
+	d := &decision{view: v, racks: map[string][]*slot{}, gone: map[domain.TaskID]bool{}}
+	for _, w := range v.Workers {
+		if !w.Usable {
+			continue
+		}
+		s := &slot{Worker: w, free: w.Free, future: w.Free}
+		for _, t := range w.Tasks {
+			if t.Stopping {
+				s.future = s.future.Plus(t.Demand)
+			}
+		}
+		d.slots = append(d.slots, s)
+		d.racks[w.Rack] = append(d.racks[w.Rack], s)
+	}
+	units := slices.Clone(v.Units)
+	slices.SortStableFunc(units, d.order)
+	for _, u := range units {
+		if u.step().Gang {
+			d.placeGang(u)
+		} else {
+			d.placeTasks(u)
+		}
+	}
+	return d.plan
+}
+
+// order puts urgent work first, then what can still earn, by the time at which its objective passes.
+func (d *decision) order(a, b *Unit) int {
+	rank := func(u *Unit) int {
+		switch {
+		case u.MayReclaim:
+			return 0
+		case u.Hopeless:
+			return 2
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(rank(a), rank(b)),
+		cmp.Compare(a.Job.Spec.Priority, b.Job.Spec.Priority),
+		cmp.Compare(a.DueMS, b.DueMS),
+		cmp.Compare(a.Job.Sequence, b.Job.Sequence),
+		cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step),
+	)
+}
+
+// patience returns how long a unit waits for the rack that it prefers.
+func patience(u *Unit) int64 {
+	if u.Job.Spec.Priority == 0 {
+		return urgentRackWaitMS
+	}
+	return (farFactor - 1) * u.step().EstimateMS
+}
+
+// allowed tells whether a worker may run tasks of a unit at all.
+func (d *decision) allowed(u *Unit, s *slot) bool {
+	step := u.step()
+	if s.Pool != u.Job.Spec.Pool || (step.Label != "" && !slices.Contains(s.Labels, step.Label)) {
+		return false
+	}
+	return true
+}
+
+// roomByLimit returns how many more tasks of a unit the spread limit allows on a worker.
+func (d *decision) roomByLimit(u *Unit, s *slot) int {
+	limit := u.step().PerWorkerLimit
+	if limit == 0 {
+		return len(u.Indexes)
+	}
+	return limit - d.view.PerWorker(u, s.Worker) - s.placed[u]
+}
+
+func (d *decision) take(u *Unit, s *slot, demand domain.Resources) {
+	s.free = s.free.Minus(demand)
+	s.future = s.future.Minus(demand)
+	if s.placed == nil {
+		s.placed = map[*Unit]int{}
+	}
+	s.placed[u]++
+}
+
+// giveBack undoes take.
+func (d *decision) giveBack(u *Unit, s *slot, demand domain.Resources) {
+	s.free = s.free.Plus(demand)
+	s.future = s.future.Plus(demand)
+	s.placed[u]--
+}
+
+// placeTasks places independent tasks one by one.
+func (d *decision) placeTasks(u *Unit) {
+	demand := u.step().Demand()
+	var start domain.StartAttempts
+	for n, index := range u.Indexes {
+		s := d.bestSlot(u, index, demand)
+		if s == nil {
+			d.makeRoom(u, u.Indexes[n:], demand)
+			break
+		}
+		d.take(u, s, demand)
+		start.Assignments = append(start.Assignments, domain.Assignment{Task: u.task(index), Worker: s.Life})
+	}
+	if len(start.Assignments) > 0 {
+		d.plan.Starts = append(d.plan.Starts, start)
+	}
+}
+
+// bestSlot returns the worker that fits a task most tightly, near its data as long as waiting for that pays.
+func (d *decision) bestSlot(u *Unit, index int, demand domain.Resources) *slot {
+	step := u.step()
+	failedOn := u.Job.Task(u.task(index)).FailedOn
+	candidates := d.slots
+	if step.DataRack != "" {
+		if s := d.tightest(u, d.racks[step.DataRack], demand, failedOn); s != nil || u.WaitedMS < patience(u) {
+			return s
+		}
+	}
+	return d.tightest(u, candidates, demand, failedOn)
+}
+
+func (d *decision) tightest(u *Unit, slots []*slot, demand domain.Resources, failedOn []string) *slot {
+	var best *slot
+	for _, s := range slots {
+		if !demand.Fits(s.free) || !d.allowed(u, s) || d.roomByLimit(u, s) <= 0 {
+			continue
+		}
+		if best == nil || tighter(s, best, failedOn) {
+			best = s
+		}
+	}
+	return best
+}
+
+// tighter prefers workers on which the task has not failed, then those with the least free capacity, so that whole
+// workers stay free for large gangs.
+func tighter(a, b *slot, failedOn []string) bool {
+	return cmp.Or(
+		cmp.Compare(failures(failedOn, a), failures(failedOn, b)),
+		cmp.Compare(a.free.Accelerators, b.free.Accelerators),
+		cmp.Compare(a.free.MemoryMB, b.free.MemoryMB),
+		cmp.Compare(a.Life.ID, b.Life.ID),
+	) < 0
+}
+
+func failures(failedOn []string, s *slot) int {
+	if slices.Contains(failedOn, s.Life.ID) {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/placement/gang.go
@@ -0,0 +1,151 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// placeGang places all members or none. A gang that prefers one rack, or the rack of its data, waits for it as long as
+// that is faster than running spread.
+func (d *decision) placeGang(u *Unit) {
+	if slots := d.gangSlots(u); slots != nil {
+		d.startGang(u, slots)
+		return
+	}
+	d.makeRoomForGang(u)
+}
+
+func (d *decision) startGang(u *Unit, slots []*slot) {
+	demand := u.step().Demand()
+	var start domain.StartAttempts
+	for i, index := range u.Indexes {
+		d.take(u, slots[i], demand)
+		start.Assignments = append(start.Assignments, domain.Assignment{Task: u.task(index), Worker: slots[i].Life})
+	}
+	d.plan.Starts = append(d.plan.Starts, start)
+}
+
+// gangSlots returns a worker for each member, nil if they do not fit now.
+func (d *decision) gangSlots(u *Unit) []*slot {
+	step := u.step()
+	failedOn := u.Job.Task(u.task(0)).FailedOn
+	if step.DataRack != "" {
+		if slots := d.pack(u, d.racks[step.DataRack], failedOn); slots != nil {
+			return slots
+		}
+		if u.WaitedMS < patience(u) && d.couldHold(u, d.racks[step.DataRack]) {
+			return nil
+		}
+	}
+	if step.SameRack {
+		if slots := d.packOneRack(u, failedOn); slots != nil {
+			return slots
+		}
+		if u.WaitedMS < patience(u) && d.someRackCouldHold(u) {
+			return nil
+		}
+	}
+	return d.pack(u, d.slots, failedOn)
+}
+
+// packOneRack returns places in the rack that the gang fills most.
+func (d *decision) packOneRack(u *Unit, failedOn []string) []*slot {
+	var best []*slot
+	var bestFree int64
+	for _, rack := range d.rackNames() {
+		slots := d.pack(u, d.racks[rack], failedOn)
+		if slots == nil {
+			continue
+		}
+		free := int64(0)
+		for _, s := range d.racks[rack] {
+			free += s.free.Accelerators
+		}
+		if best == nil || free < bestFree {
+			best, bestFree = slots, free
+		}
+	}
+	return best
+}
+
+func (d *decision) rackNames() []string {
+	names := make([]string, 0, len(d.racks))
+	for r := range d.racks {
+		names = append(names, r)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// pack returns places for all members on the given workers, the fullest ones first, or nil.
+func (d *decision) pack(u *Unit, slots []*slot, failedOn []string) []*slot {
+	demand := u.step().Demand()
+	sorted := slices.Clone(slots)
+	slices.SortStableFunc(sorted, func(a, b *slot) int {
+		if tighter(a, b, failedOn) {
+			return -1
+		}
+		return 1
+	})
+	var out []*slot
+	for _, s := range sorted {
+		if !d.allowed(u, s) {
+			continue
+		}
+		room := min(copies(demand, s.free), d.roomByLimit(u, s))
+		for ; room > 0 && len(out) < len(u.Indexes); room-- {
+			out = append(out, s)
+		}
+	}
+	if len(out) < len(u.Indexes) {
+		return nil
+	}
+	return out
+}
+
+// copies returns how many times a demand fits into what is free.
+func copies(demand, free domain.Resources) int {
+	n := int64(1 << 20)
+	if demand.CPU > 0 {
+		n = min(n, free.CPU/demand.CPU)
+	}
+	if demand.MemoryMB > 0 {
+		n = min(n, free.MemoryMB/demand.MemoryMB)
+	}
+	if demand.Accelerators > 0 {
+		n = min(n, free.Accelerators/demand.Accelerators)
+	}
+	return int(max(0, n))
+}
+
+// couldHold tells whether workers could hold a whole gang if nothing else ran there.
+func (d *decision) couldHold(u *Unit, slots []*slot) bool {
+	demand := u.step().Demand()
+	n := 0
+	for _, s := range slots {
+		if d.allowed(u, s) {
+			n += min(copies(demand, s.total()), cmp.Or(u.step().PerWorkerLimit, 1<<20))
+		}
+	}
+	return n >= len(u.Indexes)
+}
+
+func (d *decision) someRackCouldHold(u *Unit) bool {
+	for _, slots := range d.racks {
+		if d.couldHold(u, slots) {
+			return true
+		}
+	}
+	return false
+}
+
+// total returns what the worker would have free without any attempt.
+func (s *slot) total() domain.Resources {
+	r := s.Free
+	for _, t := range s.Tasks {
+		r = r.Plus(t.Demand)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/placement/types.go
@@ -0,0 +1,69 @@
+// Package placement decides which waiting tasks start on which workers, and which running ones make room for them.
+//
+// Decide is a function of a view of the domain and does no I/O. The view holds the waiting units of work and what is free
+// on each worker; the plan holds the starts and stops that the leader is to commit and order.
+package placement
+
+import "github.com/mustardwalk/mustardwalk/internal/domain"
+
+// Worker is a worker as the policy sees it.
+type Worker struct {
+	Life   domain.WorkerLife
+	Pool   string
+	Zone   string
+	Rack   string
+	Labels []string
+	Free   domain.Resources // Not taken by any attempt, stopping ones included.
+	Usable bool             // In service, in contact, not draining, not quarantined.
+	Tasks  []Running
+}
+
+// Running is an attempt on a worker.
+type Running struct {
+	Task     domain.TaskID
+	Demand   domain.Resources
+	Priority int
+	Gang     bool
+	Stopping bool  // Its capacity becomes free soon.
+	UnsavedS int64 // Seconds of work that a stop would throw away, the start-up included.
+	Ending   bool  // Expected to end by itself about as soon as a stop would free its capacity.
+}
+
+// Unit is work that starts together: a gang, or the waiting tasks of a step that are equal and independent.
+type Unit struct {
+	Job        *domain.Job
+	Occurrence int
+	Step       int
+	Indexes    []int // Waiting tasks.
+	WaitedMS   int64 // Since its dependencies were met.
+	DueMS      int64 // When the job's objective passes, Unix milliseconds.
+	Hopeless   bool  // Nothing is left to earn: three times the objective has passed.
+	MayReclaim bool  // Within its workspace's guarantee.
+}
+
+func (u *Unit) step() *domain.Step { return &u.Job.Spec.Steps[u.Step] }
+
+func (u *Unit) task(index int) domain.TaskID {
+	return domain.TaskID{Job: u.Job.Spec.ID, Occurrence: u.Occurrence, Step: u.Step, Index: index}
+}
+
+// View is the input of Decide.
+type View struct {
+	NowMS   int64
+	Workers []*Worker // In a fixed order.
+	Units   []*Unit
+	// PerWorker returns how many tasks of a unit's step are on a worker already.
+	PerWorker func(u *Unit, w *Worker) int
+}
+
+// Plan is the output of Decide.
+type Plan struct {
+	Starts []domain.StartAttempts // One for each unit, so that a gang is whole.
+	Stops  []Stop
+}
+
+// Stop is an attempt that makes room for a unit.
+type Stop struct {
+	Task domain.TaskID
+	For  domain.TaskID
+}
--- a/internal/replica/types.go
+++ b/internal/replica/types.go
@@ -18,6 +18,8 @@
 	Disk        bool   `cbor:"3,keyasint,omitempty"`
 	// Witness marks a voter outside the group's own availability zone. It hands leadership to a local voter.
 	Witness bool `cbor:"4,keyasint,omitempty"`
+	// Zone is the availability zone of the host, empty where it is not known. It is no part of the identity.
+	Zone string `cbor:"5,keyasint,omitempty"`
 }
 
 // Config is the set of voters of a group.
--- /dev/null
+++ b/internal/service/decide.go
@@ -0,0 +1,88 @@
+package service
+
+import (
+	"strings"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// Decide answers a caller's request from the applied state. A command that it returns has to be committed before the
+// answer may be given.
+func Decide(m *domain.Machine, req Request) (Answer, *domain.Command) {
+	if m.Config() == nil {
+		return Answer{Verdict: Unavailable}, nil
+	}
+	q, ok := m.QueueFor(req.Host, req.Path)
+	if !ok {
+		return Answer{Verdict: NoQueue}, nil
+	}
+	workspace, known := m.WorkspaceOf(req.Key)
+	if !known && !q.Public {
+		return Answer{Verdict: Unauthorized}, nil
+	}
+	id := domain.JobID(strings.TrimPrefix(req.Path, q.PathPrefix))
+	if id == "" {
+		if req.Kind != State {
+			return Answer{Verdict: Invalid}, nil
+		}
+		return Answer{Verdict: Counted, Waiting: m.Waiting(q.Name)}, nil
+	}
+	j := m.Job(id)
+	if j != nil && !q.Public && j.Spec.Workspace != workspace {
+		j = nil // Other workspaces' jobs do not exist for this caller.
+		if req.Kind == Submit {
+			return Answer{Verdict: Invalid}, nil
+		}
+	}
+	switch {
+	case req.Kind == Submit:
+		return submit(m, q, workspace, id, req)
+	case j == nil:
+		return Answer{Verdict: NoJob}, nil
+	case req.Kind == Cancel && !j.State.Final():
+		return Answer{Verdict: Cancelled}, &domain.Command{Cancel: &domain.CancelJob{Job: id}}
+	case req.Kind == Cancel:
+		return Answer{Verdict: Cancelled}, nil
+	}
+	return Answer{Verdict: Found, State: j.State}, nil
+}
+
+// submit accepts a job, again if it was sent before.
+func submit(m *domain.Machine, q domain.Queue, workspace string, id domain.JobID, req Request) (Answer, *domain.Command) {
+	if m.Job(id) != nil {
+		return Answer{Verdict: Accepted}, nil
+	}
+	if !validDocument(req.Document) || strings.ContainsAny(string(id), "./") {
+		return Answer{Verdict: Invalid}, nil
+	}
+	spec := *req.Document
+	spec.ID, spec.Queue, spec.Pool, spec.Workspace = id, q.Name, q.Pool, workspace
+	spec.Priority, spec.MaxAttempts, spec.Stretch, spec.TargetMS = q.Priority, max(1, q.MaxAttempts), q.Stretch, q.TargetMS
+	return Answer{Verdict: Accepted}, &domain.Command{Submit: &spec}
+}
+
+// Bounds of a job document.
+const (
+	maxSteps       = 256
+	maxTasks       = 20000
+	maxOccurrences = 100000
+)
+
+func validDocument(s *domain.JobSpec) bool {
+	if s == nil || len(s.Steps) == 0 || len(s.Steps) > maxSteps || s.RepeatCount < 0 || s.RepeatCount > maxOccurrences {
+		return false
+	}
+	tasks := 0
+	for i, step := range s.Steps {
+		if step.Count <= 0 || step.Count > maxTasks || step.Task.CPU < 0 || step.Task.MemoryMB < 0 || step.Task.Accelerators < 0 {
+			return false
+		}
+		tasks += step.Count
+		for _, d := range step.DependsOn {
+			if d < 0 || d >= i {
+				return false
+			}
+		}
+	}
+	return tasks <= maxTasks
+}
