Leader: less work per event; urgent work beyond its guarantee may reclaim

Whole-worker gangs of priority 0 beyond the guarantee waited up to 10 s behind small tasks of lower priority. Ruled out: the replicated log (its syncs are few), the calls to workers (23,000 looks, 45 us each). Change: plans pause 10 ms, attempts of a worker are listed only where room is made, only unsettled orders are walked, events of 2 ms are handled together; all units of priority 0 may reclaim, guaranteed ones first.

--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -57,6 +57,7 @@
 // Periods of the shell.
 const (
 	tickEvery       = 25 * time.Millisecond // Several times per heartbeat.
+	gather          = 2 * time.Millisecond  // Events that come together are handled together.
 	reconsiderEvery = 500 * time.Millisecond
 	voterSilence    = 2500 * time.Millisecond // Silence after which another host may take a voter's place.
 	snapshotEntries = 3000
@@ -175,6 +176,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 		case <-h.kick:
+			time.Sleep(gather)
 		}
 		if err := h.step(); err != nil {
 			return err
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -82,13 +82,23 @@
 		a = h.commitChange(ctx, now, change, a)
 	}
 	h.metrics.call(req.Kind, a.Verdict)
-	if req.Kind != service.State {
-		h.log.Info("call_answered", "request", req.Trace, "kind", req.Kind.String(), "verdict", a.Verdict.String(),
-			"config_version", h.version(), "term", h.leaderTerm)
-	}
+	h.logCall(req, a, change)
 	return a
 }
 
+// logCall writes a line for each call that changes something, or is refused.
+func (h *Host) logCall(req service.Request, a service.Answer, change *domain.Command) {
+	switch {
+	case change != nil && change.Submit != nil:
+		s := change.Submit
+		h.log.Info("job_submitted", "request", req.Trace, "job", s.ID, "verdict", a.Verdict.String(), "queue", s.Queue,
+			"workspace", s.Workspace, "priority", s.Priority, "shape", s.Shape(), "config_version", h.version(), "term", h.leaderTerm)
+	case req.Kind != service.State || a.Verdict == service.NoQueue || a.Verdict == service.Unauthorized:
+		h.log.Info("call_answered", "request", req.Trace, "path", req.Path, "kind", req.Kind.String(),
+			"verdict", a.Verdict.String(), "config_version", h.version(), "term", h.leaderTerm)
+	}
+}
+
 func (h *Host) version() int64 {
 	if c := h.machine.Config(); c != nil {
 		return c.Version
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/mustardwalk/mustardwalk/internal/domain"
@@ -42,6 +41,10 @@
 	m        *domain.Machine
 	sessions map[string]*session
 	orders   map[domain.TaskID]*order
+	// active holds the orders that are not settled: not started yet, or to be stopped.
+	active   map[domain.TaskID]*order
+	sorted   []string // Identifiers of the workers.
+	resort   bool     // The workers have changed.
 	calls    map[uint64]pending
 	lastCall uint64
 	ready    map[stepKey]int64 // When a step was first seen ready, Unix milliseconds.
@@ -49,7 +52,9 @@
 	planning bool // A command with starts is under way.
 	dirty    bool
 	planAt   time.Duration
+	planned  time.Duration
 	purgeAt  time.Duration
+	watchAt  time.Duration
 	deposed  bool
 	out      Output
 }
@@ -67,6 +72,7 @@
 		m:        m,
 		sessions: map[string]*session{},
 		orders:   map[domain.TaskID]*order{},
+		active:   map[domain.TaskID]*order{},
 		calls:    map[uint64]pending{},
 		ready:    map[stepKey]int64{},
 		chains:   map[domain.JobID]int64{},
@@ -85,9 +91,23 @@
 func (l *Leader) adopt(id domain.TaskID, attempt int, life domain.WorkerLife, now Time) *order {
 	x := &order{task: id, attempt: attempt, life: life, begun: now.Mono, progress: now.Mono, percent: -1}
 	l.orders[id] = x
+	l.active[id] = x
 	return x
 }
 
+// drop forgets an order that is over.
+func (l *Leader) drop(id domain.TaskID) {
+	delete(l.orders, id)
+	delete(l.active, id)
+}
+
+// settle takes an order off the list of those that need attention.
+func (l *Leader) settle(x *order) {
+	if x.started && !x.stop {
+		delete(l.active, x.task)
+	}
+}
+
 func (l *Leader) session(life domain.WorkerLife, now Time) *session {
 	s := l.sessions[life.ID]
 	if s == nil || s.life != life {
@@ -147,7 +167,7 @@
 func (l *Leader) conclude(now Time, id domain.TaskID) {
 	j := l.m.Job(id.Job)
 	if j == nil || !j.Task(id).Occupied() {
-		delete(l.orders, id)
+		l.drop(id)
 	}
 	if j == nil {
 		return
@@ -175,18 +195,19 @@
 func (l *Leader) stopJob(id domain.JobID, why string) {
 	for t, x := range l.orders {
 		if t.Job == id {
-			x.want(why)
+			l.want(x, why)
 		}
 	}
 }
 
 // want asks for the end of an attempt.
-func (x *order) want(why string) {
+func (l *Leader) want(x *order, why string) {
 	if !x.stop {
 		x.stop = true
 		x.why = why
 		x.next = 0
 		x.tries = 0
+		l.active[x.task] = x
 	}
 }
 
@@ -195,9 +216,10 @@
 	for id, x := range l.orders {
 		j := l.m.Job(id.Job)
 		if j == nil || !j.Task(id).Occupied() || j.Task(id).Worker != x.life {
-			delete(l.orders, id)
+			l.drop(id)
 		}
 	}
+	l.resort = true
 	for id, s := range l.sessions {
 		if w := l.m.Worker(id); w == nil || w.Life != s.life {
 			delete(l.sessions, id)
@@ -205,16 +227,22 @@
 	}
 }
 
+// watchEvery is the period of the searches for what has not happened in time.
+const watchEvery = 50 * time.Millisecond
+
 // Tick advances the orders and returns what is to be done.
 func (l *Leader) Tick(now Time) Output {
-	l.watchGangs(now)
-	l.watchProgress(now)
-	l.lapse(now)
-	l.release(now)
+	if now.Mono >= l.watchAt {
+		l.watchAt = now.Mono + watchEvery
+		l.watchGangs(now)
+		l.watchProgress(now)
+		l.lapse(now)
+		l.release(now)
+		l.housekeeping(now)
+	}
 	l.plan(now)
 	l.sendOrders(now)
 	l.sendHolds(now)
-	l.housekeeping(now)
 	out := l.out
 	l.out = Output{}
 	return out
@@ -247,7 +275,7 @@
 // watchGangs stops the gangs of which a member did not start in time.
 func (l *Leader) watchGangs(now Time) {
 	limit := time.Duration(float64(l.o.GangWait) * gangStartLimit)
-	for id, x := range l.orders {
+	for id, x := range l.active {
 		if x.started || x.stop || now.Mono-x.begun < limit {
 			continue
 		}
@@ -262,7 +290,7 @@
 func (l *Leader) stopGang(id domain.TaskID, why string) {
 	for t, x := range l.orders {
 		if keyOf(t) == keyOf(id) {
-			x.want(why)
+			l.want(x, why)
 		}
 	}
 }
@@ -286,7 +314,7 @@
 		if j.Spec.Steps[id.Step].Gang {
 			l.stopGang(id, "no progress")
 		} else {
-			x.want("no progress")
+			l.want(x, "no progress")
 		}
 	}
 }
@@ -321,7 +349,7 @@
 			}
 			ends = append(ends, e)
 		}
-		slices.SortFunc(ends, func(a, b domain.AttemptEnd) int { return strings.Compare(a.Task.String(), b.Task.String()) })
+		slices.SortFunc(ends, func(a, b domain.AttemptEnd) int { return a.Task.Compare(b.Task) })
 		s.ending = true
 		l.o.Log("leases_over", "worker", s.life.ID, "attempts", len(ends), "silent_ms", (now.Mono - s.heard).Milliseconds())
 		l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.life, Ends: ends}})
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -14,7 +14,7 @@
 
 // sendOrders repeats starts until they are confirmed, and stops until they are.
 func (l *Leader) sendOrders(now Time) {
-	for id, x := range l.orders {
+	for id, x := range l.active {
 		w := l.m.Worker(x.life.ID)
 		if w == nil || w.Life != x.life || x.calls > 0 || now.Mono < x.next {
 			continue
@@ -165,9 +165,11 @@
 	switch r.Status {
 	case OK:
 		x.started, x.ackedAt, x.progress = true, now.Mono, now.Mono
+		l.settle(x)
 	case RejectedOld:
 		// It ended or was stopped there: the next lists tell.
-		x.stop, x.stopped, x.ackedAt, s.look = true, true, now.Mono, true
+		l.want(x, "the worker says that it has ended")
+		x.stopped, x.ackedAt, s.look = true, now.Mono, true
 	case RejectedLate:
 		x.next = now.Mono
 	default:
@@ -188,7 +190,7 @@
 		l.stopGang(x.task, why)
 		return
 	}
-	x.want(why)
+	l.want(x, why)
 }
 
 // held takes the lists of a worker.
@@ -231,6 +233,7 @@
 	}
 	if !x.started {
 		x.started, x.ackedAt = true, now.Mono
+		l.settle(x)
 	}
 	if t.Percent != x.percent {
 		x.percent, x.progress = t.Percent, now.Mono
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -9,8 +9,12 @@
 	"github.com/mustardwalk/mustardwalk/internal/placement"
 )
 
-// planEvery is the longest pause between two plans while work waits; events make one at once.
-const planEvery = 100 * time.Millisecond
+// Pauses between two plans. Events make one at once, but for a pause that gathers those that come together; while work
+// waits, time itself changes what may be done.
+const (
+	planEvery = 100 * time.Millisecond
+	planPause = 10 * time.Millisecond // About one sync of the disk.
+)
 
 // hopelessFactor: a job earns nothing after this many times its objective (RULES, "Credit").
 const hopelessFactor = 3
@@ -18,16 +22,18 @@
 // plan starts what can start and makes room for urgent work. One plan is under way at a time, so that no capacity is
 // given away twice.
 func (l *Leader) plan(now Time) {
-	if l.planning || (!l.dirty && now.Mono < l.planAt) {
+	if l.planning || (!l.dirty && now.Mono < l.planAt) || now.Mono < l.planned+planPause {
 		return
 	}
 	l.dirty = false
+	l.planned = now.Mono
 	l.planAt = now.Mono + planEvery
 	units := l.units(now)
 	if len(units) == 0 {
 		return
 	}
 	v := &placement.View{NowMS: now.WallMS, Units: units, Workers: l.workers(now), PerWorker: l.perWorker}
+	v.Tasks = func(w *placement.Worker) []placement.Running { return l.running(now, w.Life.ID) }
 	p := placement.Decide(v)
 	for _, s := range p.Stops {
 		if x := l.orders[s.Task]; x != nil && !x.stop {
@@ -120,8 +126,8 @@
 	return longest
 }
 
-// coverByGuarantees marks the urgent units of each workspace whose jobs fit into its guarantee, in the order of
-// acceptance.
+// coverByGuarantees marks the urgent units, which may reclaim capacity, and among them those of workspaces whose jobs fit
+// into the guarantee, in the order of acceptance.
 func (l *Leader) coverByGuarantees(units []*placement.Unit) {
 	need := map[string]int64{}
 	covered := map[domain.JobID]bool{}
@@ -137,7 +143,8 @@
 		covered[j.Spec.ID] = need[j.Spec.Workspace] <= l.m.Guarantee(j.Spec.Workspace)
 	}
 	for _, u := range units {
-		u.MayReclaim = covered[u.Job.Spec.ID]
+		u.MayReclaim = u.Job.Spec.Priority == 0
+		u.Guaranteed = covered[u.Job.Spec.ID]
 	}
 }
 
@@ -167,21 +174,35 @@
 
 // workers returns the workers in a fixed order.
 func (l *Leader) workers(now Time) []*placement.Worker {
-	ids := make([]string, 0, len(l.m.Workers()))
-	for id := range l.m.Workers() {
-		ids = append(ids, id)
+	if len(l.sorted) != len(l.m.Workers()) || l.resort {
+		l.sorted = l.sorted[:0]
+		for id := range l.m.Workers() {
+			l.sorted = append(l.sorted, id)
+		}
+		slices.Sort(l.sorted)
+		l.resort = false
 	}
-	slices.Sort(ids)
-	out := make([]*placement.Worker, 0, len(ids))
-	for _, id := range ids {
+	stopping := l.stopping()
+	all := make([]placement.Worker, len(l.sorted))
+	out := make([]*placement.Worker, len(l.sorted))
+	for i, id := range l.sorted {
 		w := l.m.Worker(id)
-		p := &placement.Worker{
+		all[i] = placement.Worker{
 			Life: w.Life, Pool: w.Pool, Zone: w.Zone, Rack: w.Rack, Labels: w.Labels, Free: w.Free(), Usable: l.usable(now, w),
+			Total: w.Capacity, Stopping: stopping[id],
 		}
-		if p.Usable {
-			p.Tasks = l.running(now, w)
+		out[i] = &all[i]
+	}
+	return out
+}
+
+// stopping returns by worker what attempts take that have been told to stop.
+func (l *Leader) stopping() map[string]domain.Resources {
+	out := map[string]domain.Resources{}
+	for id, x := range l.active {
+		if j := l.m.Job(id.Job); x.stop && j != nil {
+			out[x.life.ID] = out[x.life.ID].Plus(j.Spec.Steps[id.Step].Demand())
 		}
-		out = append(out, p)
 	}
 	return out
 }
@@ -194,7 +215,8 @@
 		now.Mono-max(s.heard, s.reported) < 2*l.o.Report+l.o.Report/2
 }
 
-func (l *Leader) running(now Time, w *domain.Worker) []placement.Running {
+func (l *Leader) running(now Time, worker string) []placement.Running {
+	w := l.m.Worker(worker)
 	out := make([]placement.Running, 0, len(w.Attempts()))
 	for id := range w.Attempts() {
 		j := l.m.Job(id.Job)
@@ -209,6 +231,6 @@
 			Stopping: x == nil || x.stop, UnsavedS: ran / 1000,
 		})
 	}
-	slices.SortFunc(out, func(a, b placement.Running) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
+	slices.SortFunc(out, func(a, b placement.Running) int { return a.Task.Compare(b.Task) })
 	return out
 }
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -6,6 +6,7 @@
 package domain
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 
@@ -28,6 +29,12 @@
 	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step),
+		cmp.Compare(t.Index, o.Index))
+}
+
 // ParseTaskID reads the form that String writes.
 func ParseTaskID(s string) (TaskID, error) {
 	parts := strings.Split(s, ".")
@@ -112,6 +119,32 @@
 	IntervalMS  int64   `cbor:"13,keyasint,omitempty"`
 }
 
+// Shape describes the steps for logs, for example "5g8a@r1-2" for a gang of 5 tasks with 8 accelerators each near a rack.
+func (s *JobSpec) Shape() string {
+	var b strings.Builder
+	for i, step := range s.Steps {
+		if i > 0 {
+			b.WriteByte('+')
+		}
+		b.WriteString(strconv.Itoa(step.Count))
+		if step.Gang {
+			b.WriteByte('g')
+		}
+		b.WriteString(strconv.FormatInt(step.Task.Accelerators, 10) + "a")
+		if step.SameRack {
+			b.WriteByte('=')
+		}
+		if step.DataRack != "" {
+			b.WriteString("@" + step.DataRack)
+		}
+		b.WriteString("~" + strconv.FormatInt(step.EstimateMS, 10))
+	}
+	if s.RepeatCount > 0 {
+		b.WriteString("x" + strconv.Itoa(s.RepeatCount))
+	}
+	return b.String()
+}
+
 // Occurrences returns how many times the steps run.
 func (s *JobSpec) Occurrences() int { return max(1, s.RepeatCount) }
 
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -21,6 +21,8 @@
 	free   domain.Resources // What can be started on now.
 	future domain.Resources // free, plus what is being stopped.
 	placed map[*Unit]int
+	tasks  []Running
+	asked  bool // tasks holds.
 }
 
 type decision struct {
@@ -38,12 +40,7 @@
 		if !w.Usable {
 			continue
 		}
-		s := &slot{Worker: w, free: w.Free, future: w.Free}
-		for _, t := range w.Tasks {
-			if t.Stopping {
-				s.future = s.future.Plus(t.Demand)
-			}
-		}
+		s := &slot{Worker: w, free: w.Free, future: w.Free.Plus(w.Stopping)}
 		d.slots = append(d.slots, s)
 		d.racks[w.Rack] = append(d.racks[w.Rack], s)
 	}
@@ -63,7 +60,7 @@
 func (d *decision) order(a, b *Unit) int {
 	rank := func(u *Unit) int {
 		switch {
-		case u.MayReclaim:
+		case u.Guaranteed:
 			return 0
 		case u.Hopeless:
 			return 2
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -126,7 +126,7 @@
 	n := 0
 	for _, s := range slots {
 		if d.allowed(u, s) {
-			n += min(copies(demand, s.total()), cmp.Or(u.step().PerWorkerLimit, 1<<20))
+			n += min(copies(demand, s.Total), cmp.Or(u.step().PerWorkerLimit, 1<<20))
 		}
 	}
 	return n >= len(u.Indexes)
@@ -140,12 +140,3 @@
 	}
 	return false
 }
-
-// total returns what the worker would have free without any attempt.
-func (s *slot) total() domain.Resources {
-	r := s.Free
-	for _, t := range s.Tasks {
-		r = r.Plus(t.Demand)
-	}
-	return r
-}
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -121,7 +121,7 @@
 		return nil, 0, true
 	}
 	var candidates []Running
-	for _, t := range s.Tasks {
+	for _, t := range d.tasks(s) {
 		if t.Priority > u.Job.Spec.Priority && !t.Stopping && !d.gone[t.Task] {
 			candidates = append(candidates, t)
 		}
@@ -140,6 +140,14 @@
 	return nil, 0, false
 }
 
+// tasks returns the attempts on a worker.
+func (d *decision) tasks(s *slot) []Running {
+	if !s.asked {
+		s.tasks, s.asked = d.view.Tasks(s.Worker), true
+	}
+	return s.tasks
+}
+
 // cost returns the core-seconds that a stop throws away, at least a little, so that fewer stops are better. The rest of
 // a gang ends with its member.
 func (r Running) cost() int64 {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -15,7 +15,9 @@
 	Labels []string
 	Free   domain.Resources // Not taken by any attempt, stopping ones included.
 	Usable bool             // In service, in contact, not draining, not quarantined.
-	Tasks  []Running
+	// Total is the capacity, Stopping the part of it that attempts take which have been told to stop.
+	Total    domain.Resources
+	Stopping domain.Resources
 }
 
 // Running is an attempt on a worker.
@@ -38,7 +40,8 @@
 	WaitedMS   int64 // Since its dependencies were met.
 	DueMS      int64 // When the job's objective passes, Unix milliseconds.
 	Hopeless   bool  // Nothing is left to earn: three times the objective has passed.
-	MayReclaim bool  // Within its workspace's guarantee.
+	MayReclaim bool  // May end work of lower priority.
+	Guaranteed bool  // Within its workspace's guarantee: must start within a bound.
 }
 
 func (u *Unit) step() *domain.Step { return &u.Job.Spec.Steps[u.Step] }
@@ -54,6 +57,8 @@
 	Units   []*Unit
 	// PerWorker returns how many tasks of a unit's step are on a worker already.
 	PerWorker func(u *Unit, w *Worker) int
+	// Tasks returns the attempts on a worker. It is asked only where room has to be made.
+	Tasks func(w *Worker) []Running
 }
 
 // Plan is the output of Decide.
