--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -143,8 +143,9 @@
 		covered[j.Spec.ID] = need[j.Spec.Workspace] <= l.m.Guarantee(j.Spec.Workspace)
 	}
 	for _, u := range units {
-		u.MayReclaim = u.Job.Spec.Priority == 0
 		u.Guaranteed = covered[u.Job.Spec.ID]
+		// Hopeless work comes last in the order: what it ended would start again before it.
+		u.MayReclaim = u.Job.Spec.Priority == 0 && (u.Guaranteed || !u.Hopeless)
 	}
 }
 
