Expected run times from what ran; room held for large gangs; the cost of ending a gang counts all members

Cause: declared run times of urgent work vary by an order of magnitude either way (336 to 35,670 ms at a mean of 2,500), so that half a second of waiting made a job hopeless; gangs of 6 to 8 whole workers waited 40 s because small work filled each gap. Ruled out: lack of capacity (the workers were 65% used). Change: the domain keeps a moving average by queue; declared times may differ from it by a factor of two; pressed gangs hold room; ending one member of a gang counts as ending all.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -95,34 +95,60 @@
 		since = now.WallMS
 		l.ready[key] = since
 	}
-	base := j.AcceptedMS
-	if j.Spec.RepeatCount > 0 {
-		base = j.Spec.DueMS(k)
-	}
-	objective := int64(j.Spec.Stretch*float64(l.chain(j))) + j.Spec.TargetMS
+	base := l.base(j, k)
+	objective := l.objective(j)
 	return &placement.Unit{
 		Job: j, Occurrence: k, Step: s, Indexes: waiting,
+		RunMS:    l.runTime(j, step),
 		WaitedMS: now.WallMS - since,
 		DueMS:    base + objective,
 		Hopeless: now.WallMS > base+hopelessFactor*objective,
 	}
 }
 
-// chain returns the longest chain of declared run times of a job, in milliseconds.
+// base returns from when the time of an occurrence counts, Unix milliseconds.
+func (l *Leader) base(j *domain.Job, occurrence int) int64 {
+	if j.Spec.RepeatCount > 0 {
+		return j.Spec.DueMS(occurrence)
+	}
+	return j.AcceptedMS
+}
+
+// objective returns within which time a job should be done, in milliseconds.
+func (l *Leader) objective(j *domain.Job) int64 {
+	return int64(j.Spec.Stretch*float64(l.chain(j))) + j.Spec.TargetMS
+}
+
+// runTimeRange is how far a declared run time may take the expected one from the average of the queue.
+const runTimeRange = 2
+
+// runTime returns the expected run time of a task, in milliseconds.
+func (l *Leader) runTime(j *domain.Job, step *domain.Step) int64 {
+	average := l.m.RunTime(j.Spec.Queue)
+	if average == 0 {
+		return step.EstimateMS
+	}
+	return min(max(step.EstimateMS, average/runTimeRange), average*runTimeRange)
+}
+
+// chain returns the longest chain of expected run times of a job, in milliseconds.
 func (l *Leader) chain(j *domain.Job) int64 {
 	if c, known := l.chains[j.Spec.ID]; known {
 		return c
 	}
+	average := l.m.RunTime(j.Spec.Queue)
 	ends := make([]int64, len(j.Spec.Steps))
 	longest := int64(0)
 	for i, s := range j.Spec.Steps {
 		for _, d := range s.DependsOn {
 			ends[i] = max(ends[i], ends[d])
 		}
-		ends[i] += s.EstimateMS
+		ends[i] += l.runTime(j, &j.Spec.Steps[i])
 		longest = max(longest, ends[i])
 	}
-	l.chains[j.Spec.ID] = longest
+	if average > 0 {
+		l.chains[j.Spec.ID] = longest
+	}
 	return longest
 }
 
@@ -227,9 +253,14 @@
 		if step.Checkpointable {
 			ran = min(ran, 2000)
 		}
+		members := 1
+		if step.Gang {
+			members = step.Count
+		}
 		out = append(out, placement.Running{
-			Task: id, Demand: step.Demand(), Priority: j.Spec.Priority, Gang: step.Gang,
+			Task: id, Demand: step.Demand(), Priority: j.Spec.Priority, Members: members,
 			Stopping: x == nil || x.stop, UnsavedS: ran / 1000,
+			Pressed: now.WallMS+2*l.runTime(j, step) > l.base(j, id.Occurrence)+l.objective(j),
 		})
 	}
 	slices.SortFunc(out, func(a, b placement.Running) int { return a.Task.Compare(b.Task) })
--- a/internal/domain/apply_attempt.go
+++ b/internal/domain/apply_attempt.go
@@ -103,6 +103,7 @@
 	}
 	switch x.Outcome {
 	case OutcomeDone:
+		m.learnRunTime(j.Spec.Queue, at-t.Started)
 		m.finishTask(j, x.Task)
 		m.settle(j, x.Task.Occurrence, at)
 	case OutcomeFailed:
@@ -110,6 +111,21 @@
 	}
 }
 
+// Weights of the moving average of run times.
+const (
+	runTimeMemory = 16 // Ended tasks that the average goes back.
+	runTimeMost   = 4  // A single task counts for at most this many times the average.
+)
+
+func (m *Machine) learnRunTime(queue string, ran int64) {
+	known := m.state.RunTimes[queue]
+	if known == 0 {
+		m.state.RunTimes[queue] = max(1, ran)
+		return
+	}
+	m.state.RunTimes[queue] = max(1, known+(min(ran, runTimeMost*known)-known)/runTimeMemory)
+}
+
 // leaveBusy drops an ended job from the list of those with attempts on workers.
 func (m *Machine) leaveBusy(j *Job) {
 	if j.State.Final() && m.busyEnded[j.Spec.ID] != nil && !j.busy() {
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -35,6 +35,7 @@
 	Jobs     map[JobID]*Job     `cbor:"3,keyasint,omitempty"`
 	Workers  map[string]*Worker `cbor:"4,keyasint,omitempty"`
 	Sequence uint64             `cbor:"5,keyasint,omitempty"`
+	RunTimes map[string]int64   `cbor:"6,keyasint,omitempty"` // By queue, see RunTime.
 }
 
 // New returns an empty machine.
@@ -74,6 +75,9 @@
 	if s.Workers == nil {
 		s.Workers = map[string]*Worker{}
 	}
+	if s.RunTimes == nil {
+		s.RunTimes = map[string]int64{}
+	}
 	m.state = s
 	m.open = map[JobID]*Job{}
 	m.busyEnded = map[JobID]*Job{}
@@ -255,6 +259,10 @@
 // Workers returns the workers by identifier. The map must not be changed.
 func (m *Machine) Workers() map[string]*Worker { return m.state.Workers }
 
+// RunTime returns the moving average of the time that tasks of a queue took, in milliseconds, 0 if none has ended yet.
+// Declared run times are off by an order of magnitude.
+func (m *Machine) RunTime(queue string) int64 { return m.state.RunTimes[queue] }
+
 // Waiting returns the number of jobs of a queue of which no task has started.
 func (m *Machine) Waiting(queue string) int {
 	n := 0
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -11,7 +11,7 @@
 // data a task takes FarFactor times as long, so that waiting up to twice its run time is still faster.
 const (
 	farFactor          = 3    // bounds far_x of the deployments.
-	urgentRackWaitMS   = 1500 // Of the 3.4 s within which urgent work must begin, so that a stop still fits.
+	urgentRackWaitMS   = 2000 // Of the 3.4 s within which urgent work must begin, so that a stop still fits.
 	reclaimAfterWaitMS = 60   // Urgent work reclaims nearly at once; a stop takes up to 0.9 s.
 )
 
@@ -32,6 +32,7 @@
 type decision struct {
 	view  *View
 	whole int // Usable workers on which nothing runs.
+	held  int // Places held for large gangs.
 	spare int // How many of them are kept for urgent work.
 	slots []*slot
 	racks map[string][]*slot
@@ -89,10 +90,10 @@
 
 // patience returns how long a unit waits for the rack that it prefers.
 func patience(u *Unit) int64 {
-	if u.Job.Spec.Priority == 0 {
+	if u.Guaranteed {
 		return urgentRackWaitMS
 	}
-	return (farFactor - 1) * u.step().EstimateMS
+	return (farFactor - 1) * u.RunMS
 }
 
 // empty tells whether nothing runs on a worker.
@@ -100,7 +101,7 @@
 
 // pressed tells whether a unit becomes late if it waits for longer.
 func (d *decision) pressed(u *Unit) bool {
-	return d.view.NowMS+2*u.step().EstimateMS > u.DueMS
+	return d.view.NowMS+2*u.RunMS > u.DueMS
 }
 
 // kept tells whether a worker is kept from a unit for urgent work that may come.
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -14,7 +14,74 @@
 		d.startGang(u, slots)
 		return
 	}
-	d.makeRoomForGang(u)
+	if u.MayReclaim {
+		d.makeRoomForGang(u)
+	} else if !u.Hopeless && d.pressed(u) {
+		d.holdRoom(u)
+	}
+}
+
+// heldShare bounds the workers that are held for large gangs, as a share of all.
+const heldShare = 0.4
+
+// holdRoom keeps the workers that are closest to having room for the members of a gang from work that comes later in the
+// order. Small work would otherwise fill each gap before the gang fits.
+func (d *decision) holdRoom(u *Unit) {
+	demand := u.step().Demand()
+	for _, slots := range d.holdGroups(u) {
+		chosen := d.closest(u, slots, demand)
+		if chosen == nil || float64(d.held+len(chosen)) > heldShare*float64(len(d.slots)) {
+			continue
+		}
+		d.held += len(chosen)
+		for _, s := range chosen {
+			d.take(u, s, demand)
+		}
+		return
+	}
+}
+
+// holdGroups returns the groups of workers that a gang may wait for, the one with the most free accelerators first.
+func (d *decision) holdGroups(u *Unit) [][]*slot {
+	if !u.step().SameRack || !d.someRackCouldHold(u) {
+		return [][]*slot{d.slots}
+	}
+	var groups [][]*slot
+	for _, rack := range d.rackNames() {
+		groups = append(groups, d.racks[rack])
+	}
+	slices.SortStableFunc(groups, func(a, b []*slot) int { return cmp.Compare(freeAccelerators(b), freeAccelerators(a)) })
+	return groups
+}
+
+func freeAccelerators(slots []*slot) int64 {
+	free := int64(0)
+	for _, s := range slots {
+		free += max(0, s.future.Accelerators)
+	}
+	return free
+}
+
+// closest returns the workers with the most free accelerators, one for each member, or nil.
+func (d *decision) closest(u *Unit, slots []*slot, demand domain.Resources) []*slot {
+	sorted := slices.Clone(slots)
+	slices.SortStableFunc(sorted, func(a, b *slot) int {
+		return cmp.Or(cmp.Compare(b.future.Accelerators, a.future.Accelerators), cmp.Compare(a.Life.ID, b.Life.ID))
+	})
+	var out []*slot
+	for _, s := range sorted {
+		if !d.allowed(u, s) {
+			continue
+		}
+		room := min(copies(demand, s.Total), d.roomByLimit(u, s))
+		for ; room > 0 && len(out) < len(u.Indexes); room-- {
+			out = append(out, s)
+		}
+	}
+	if len(out) < len(u.Indexes) {
+		return nil
+	}
+	return out
 }
 
 func (d *decision) startGang(u *Unit, slots []*slot) {
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -10,6 +10,9 @@
 // acceleratorCores is what an accelerator counts against a core when work thrown away is compared (RULES, "Prices").
 const acceleratorCores = 8
 
+// pressedWeight is how much more ending work counts whose job becomes late by it.
+const pressedWeight = 3
+
 // makeRoom reclaims capacity for tasks that have no place, if their workspace's guarantee covers them. Capacity that is
 // being freed is kept from work that comes later in the order.
 func (d *decision) makeRoom(u *Unit, indexes []int, demand domain.Resources) {
@@ -152,9 +155,9 @@
 // a gang ends with its member.
 func (r Running) cost() int64 {
 	perSecond := r.Demand.CPU/1000 + acceleratorCores*r.Demand.Accelerators + 1
-	c := (r.UnsavedS + 1) * perSecond
-	if r.Gang {
-		c *= 4
+	c := (r.UnsavedS + 1) * perSecond * int64(max(1, r.Members))
+	if r.Pressed {
+		c *= pressedWeight
 	}
 	return c
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -25,10 +25,10 @@
 	Task     domain.TaskID
 	Demand   domain.Resources
 	Priority int
-	Gang     bool
+	Members  int   // How many attempts end with it: the members of a gang, or 1.
 	Stopping bool  // Its capacity becomes free soon.
 	UnsavedS int64 // Seconds of work that a stop would throw away, the start-up included.
-	Ending   bool  // Expected to end by itself about as soon as a stop would free its capacity.
+	Pressed  bool  // Its job becomes late if it has to start again.
 }
 
 // Unit is work that starts together: a gang, or the waiting tasks of a step that are equal and independent.
@@ -37,6 +37,7 @@
 	Occurrence int
 	Step       int
 	Indexes    []int // Waiting tasks.
+	RunMS      int64 // Expected run time of a task.
 	WaitedMS   int64 // Since its dependencies were met.
 	DueMS      int64 // When the job's objective passes, Unix milliseconds.
 	Hopeless   bool  // Nothing is left to earn: three times the objective has passed.
