dispatch: short first lease, doubtful zones, inherited gangs

Ruled out: the search for a leader (0.9 s after a freeze). Change: the first attempt on a worker gets 3 s until it is confirmed; zones of which more workers fail than answer get nothing new; reports may be 0.7 s late, not 2.3 s; members that an earlier leader started are not judged before their worker answers.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -9,21 +9,23 @@
 
 // order is an attempt that may be present on a worker.
 type order struct {
-	task     domain.TaskID
-	attempt  int
-	life     domain.WorkerLife
-	begun    time.Duration // When this leader took the order over.
-	calls    int           // Starts or stops under way.
-	tries    int           // Starts sent.
-	next     time.Duration // Earliest time of the next start or stop.
-	started  bool          // The worker has confirmed the start, or lists the attempt.
-	ackedAt  time.Duration // When the worker confirmed the start or the stop.
-	stop     bool          // The attempt is to end.
-	why      string
-	stopped  bool // The worker has confirmed the stop, or that it will not run the attempt.
-	percent  int
-	progress time.Duration // When percent last rose.
-	saved    string
+	task    domain.TaskID
+	attempt int
+	life    domain.WorkerLife
+	begun   time.Duration // When this leader took the order over.
+	// inherited marks an order of an earlier leader, which the worker may run for long already.
+	inherited bool
+	calls     int           // Starts or stops under way.
+	tries     int           // Starts sent.
+	next      time.Duration // Earliest time of the next start or stop.
+	started   bool          // The worker has confirmed the start, or lists the attempt.
+	ackedAt   time.Duration // When the worker confirmed the start or the stop.
+	stop      bool          // The attempt is to end.
+	why       string
+	stopped   bool // The worker has confirmed the stop, or that it will not run the attempt.
+	percent   int
+	progress  time.Duration // When percent last rose.
+	saved     string
 }
 
 // stepKey names a step of an occurrence.
@@ -81,7 +83,7 @@
 	for _, w := range m.Workers() {
 		s := l.session(w.Life, now)
 		for id, attempt := range w.Attempts() {
-			l.adopt(id, attempt, w.Life, now)
+			l.adopt(id, attempt, w.Life, now).inherited = true
 			s.look = true
 		}
 	}
@@ -279,6 +281,9 @@
 		if x.started || x.stop || now.Mono-x.begun < limit {
 			continue
 		}
+		if s := l.sessions[x.life.ID]; x.inherited && (s == nil || !s.everHeard) {
+			continue // Its worker has not told yet; the lease decides about one that is silent.
+		}
 		j := l.m.Job(id.Job)
 		if j != nil && j.Spec.Steps[id.Step].Gang {
 			l.stopGang(id, "a member did not start in time")
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -34,8 +34,12 @@
 	j := l.m.Job(x.task.Job)
 	x.calls++
 	x.tries++
+	lease := l.o.Lease
+	if !l.confirmedOn(w) {
+		lease = min(lease, startLease)
+	}
 	l.call(now, w, Call{
-		Kind: CallStart, Task: x.task, Attempt: x.attempt, UntilMS: l.extend(now, s),
+		Kind: CallStart, Task: x.task, Attempt: x.attempt, UntilMS: l.extend(now, s, lease),
 		Payload: j.Spec.Payload, Saved: l.savedFor(j, x.task),
 	})
 }
@@ -48,9 +52,23 @@
 	return j.Task(id).Saved
 }
 
+// confirmedOn tells whether a worker has confirmed an attempt, so that its lease is renewed.
+func (l *Leader) confirmedOn(w *domain.Worker) bool {
+	for id := range w.Attempts() {
+		if x := l.orders[id]; x != nil && (x.started || x.inherited) {
+			return true
+		}
+	}
+	return false
+}
+
+// startLease is the lease of a first attempt on a worker until the worker has confirmed it. A start that is lost with its
+// worker then blocks its task for a short time only; the hold that follows the confirmation grants the whole lease.
+const startLease = 3 * time.Second
+
 // extend returns the end of a lease that begins now, on the worker's clock.
-func (l *Leader) extend(now Time, s *session) int64 {
-	s.untilMS = max(s.untilMS, s.clock(now.Mono)+l.o.Lease.Milliseconds())
+func (l *Leader) extend(now Time, s *session, lease time.Duration) int64 {
+	s.untilMS = max(s.untilMS, s.clock(now.Mono)+lease.Milliseconds())
 	return s.untilMS
 }
 
@@ -83,8 +101,8 @@
 
 func (l *Leader) hold(now Time, w *domain.Worker, s *session, wait time.Duration) {
 	c := Call{Kind: CallHold, Cursor: w.Cursor, Wait: wait}
-	if s.hasClock && !s.silent(now.Mono) {
-		c.UntilMS = l.extend(now, s)
+	if s.hasClock && !s.silent(now.Mono) && l.confirmedOn(w) {
+		c.UntilMS = l.extend(now, s, l.o.Lease)
 	}
 	s.holds++
 	s.holdSent = now.Mono
@@ -164,6 +182,7 @@
 	}
 	switch r.Status {
 	case OK:
+		s.look = s.look || !l.confirmedOn(l.m.Worker(s.life.ID))
 		x.started, x.ackedAt, x.progress = true, now.Mono, now.Mono
 		l.settle(x)
 	case RejectedOld:
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -210,12 +210,13 @@
 		l.resort = false
 	}
 	stopping := l.stopping()
+	doubtful := l.doubtfulZones(now)
 	all := make([]placement.Worker, len(l.sorted))
 	out := make([]*placement.Worker, len(l.sorted))
 	for i, id := range l.sorted {
 		w := l.m.Worker(id)
 		all[i] = placement.Worker{
-			Life: w.Life, Pool: w.Pool, Zone: w.Zone, Rack: w.Rack, Labels: w.Labels, Free: w.Free(), Usable: l.usable(now, w),
+			Life: w.Life, Pool: w.Pool, Zone: w.Zone, Rack: w.Rack, Labels: w.Labels, Free: w.Free(), Usable: l.usable(now, w) && !doubtful[w.Zone],
 			Total: w.Capacity, Stopping: stopping[id],
 		}
 		out[i] = &all[i]
@@ -234,12 +235,43 @@
 	return out
 }
 
+// Limits on what is known of a worker that gets new attempts.
+const (
+	// reportSlack is how late a report may be.
+	reportSlack = 700 * time.Millisecond
+	// zoneFailures is how many workers of a zone must leave calls unanswered for the zone to count as cut off, if they are
+	// more than those that have answered within zoneRecent.
+	zoneFailures = 3
+	zoneRecent   = time.Second
+)
+
+// doubtfulZones returns the zones that seem to be cut off. Their workers get nothing new, since what is lost with an
+// unanswered start waits for the end of a lease.
+func (l *Leader) doubtfulZones(now Time) map[string]bool {
+	failing, answering := map[string]int{}, map[string]int{}
+	for id, s := range l.sessions {
+		w := l.m.Worker(id)
+		switch {
+		case w == nil:
+		case s.failures > 0:
+			failing[w.Zone]++
+		case s.everHeard && now.Mono-s.heard < zoneRecent:
+			answering[w.Zone]++
+		}
+	}
+	out := map[string]bool{}
+	for zone, n := range failing {
+		out[zone] = n >= zoneFailures && n > answering[zone]
+	}
+	return out
+}
+
 // usable tells whether new attempts may go to a worker.
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Life.ID]
 	return s != nil && s.life == w.Life && !s.released && !w.Draining && !l.m.ZoneOut(w.Zone) &&
 		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil &&
-		now.Mono-max(s.heard, s.reported) < 2*l.o.Report+l.o.Report/2
+		now.Mono-max(s.heard, s.reported) < l.o.Report+reportSlack
 }
 
 func (l *Leader) running(now Time, worker string) []placement.Running {
