simworker, dispatch: a model of workers and random runs with faults

The world of the tests runs leaders over one domain with simulated workers, late orders, cuts, crashes and new leaders, and checks at each start that no task runs twice, none starts after it is done, and no worker is over its capacity. The lease that an earlier leader may have granted counts only where attempts of its time may run.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -84,7 +84,7 @@
 		s := l.session(w.Life, now)
 		for id, attempt := range w.Attempts() {
 			l.adopt(id, attempt, w.Life, now).inherited = true
-			s.look = true
+			s.look, s.inherited = true, true
 		}
 	}
 	return l
--- /dev/null
+++ b/internal/dispatch/leader_test.go
@@ -0,0 +1,276 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/simworker"
+)
+
+// step returns a step of equal tasks with a program.
+func step(count int, accelerators int64) domain.Step {
+	return domain.Step{Count: count, Task: domain.Resources{CPU: 1000, MemoryMB: 1000, Accelerators: accelerators}, EstimateMS: 2000}
+}
+
+func gang(count int, accelerators int64) domain.Step {
+	s := step(count, accelerators)
+	s.Gang = true
+	return s
+}
+
+var _ = Describe("a leader", func() {
+	It("runs steps in the order of their dependencies and completes the job", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		second := step(2, 1)
+		second.DependsOn = []int{0}
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(4, 1), second}})
+		w.run(2900 * time.Millisecond)
+		Expect(w.state("j")).To(Equal(domain.JobRunning))
+		w.run(4 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.starts).To(Equal(6))
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("runs the occurrences of a schedule when they are due, not before", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=100", Steps: []domain.Step{step(1, 1)},
+			RepeatCount: 3, StartAtMS: wallStart + 2000, IntervalMS: 1000})
+		w.run(1990 * time.Millisecond)
+		Expect(w.starts).To(Equal(0))
+		w.run(3500 * time.Millisecond)
+		Expect(w.starts).To(Equal(2))
+		w.run(5 * time.Second)
+		Expect(w.starts).To(Equal(3))
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	})
+
+	It("fails a job whose task has used up its attempts, and counts a gang once", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", MaxAttempts: 2, Payload: "work=500 fail=true gang=4", Steps: []domain.Step{gang(4, 1)}})
+		w.run(20 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobFailed))
+		Expect(w.machine.Job("j").Occurrences[0].Steps[0][0].Failed).To(Equal(2))
+	})
+
+	It("stops the tasks of a cancelled job and starts none later", func() {
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=60000", Steps: []domain.Step{step(40, 1)}})
+		w.run(2 * time.Second)
+		started := w.starts
+		w.commit(&domain.Command{Cancel: &domain.CancelJob{Job: "j"}})
+		w.run(4 * time.Second)
+		Expect(w.starts).To(Equal(started))
+		Expect(w.running).To(BeEmpty())
+		Expect(w.state("j")).To(Equal(domain.JobCancelled))
+	})
+
+	It("starts nothing in a zone that is out, and again once it is back", func() {
+		w := newWorld(1, 9)
+		w.run(time.Second)
+		for _, z := range []string{"z0", "z1", "z2"} {
+			w.commit(&domain.Command{Zone: &domain.SetZone{Zone: z, Out: true}})
+		}
+		w.run(1100 * time.Millisecond)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=100", Steps: []domain.Step{step(3, 1)}})
+		w.run(3 * time.Second)
+		Expect(w.starts).To(Equal(0))
+		w.commit(&domain.Command{Zone: &domain.SetZone{Zone: "z1"}})
+		w.run(4 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	})
+
+	It("restarts the tasks of a worker that vanishes only after its lease is over", func() {
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=30000", Steps: []domain.Step{step(1, 1)}})
+		w.run(5 * time.Second)
+		victim := w.running[domain.TaskID{Job: "j"}].Worker.ID
+		w.cut[victim] = true
+		w.run(12900 * time.Millisecond)
+		Expect(w.starts).To(Equal(1), "the lease was renewed at 3 s or later and may still hold")
+		w.run(20 * time.Second)
+		Expect(w.starts).To(Equal(2))
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("blocks a task whose first start is lost for the short first lease only", func() {
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		// The start reaches a worker that is cut off before it can answer.
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=30000", Steps: []domain.Step{step(1, 1)}})
+		w.gangs.Events = func(e simworker.Event) {
+			if e.Start && w.starts == 0 {
+				w.cut[e.Worker.ID] = true
+			}
+			w.observe(e)
+		}
+		w.run(6 * time.Second)
+		Expect(w.starts).To(Equal(2), "3 s of lease, not 10 s")
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("continues a task from its checkpoint on another worker", func() {
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		s := step(1, 1)
+		s.Checkpointable = true
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=12000", Steps: []domain.Step{s}})
+		w.run(10 * time.Second) // Eight seconds are saved.
+		w.cut[w.running[domain.TaskID{Job: "j"}].Worker.ID] = true
+		w.run(26 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted), "the rest takes 4 s after the lease is over")
+	})
+
+	It("moves a task that makes no progress to another worker", func() {
+		w := newWorld(1, 2)
+		w.workers[0].Stuck = true
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(4, 4)}})
+		w.run(12 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	})
+
+	It("does not let a worker that fails everything use up the attempts of many jobs", func() {
+		w := newWorld(1, 6)
+		w.workers[0].Broken = true
+		w.run(time.Second)
+		for i := range 20 {
+			w.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprintf("j%d", i)), MaxAttempts: 2, Payload: "work=700",
+				Steps: []domain.Step{step(2, 1)}})
+			w.run(w.now + 200*time.Millisecond)
+		}
+		w.run(20 * time.Second)
+		Expect(w.open()).To(BeEmpty())
+		for i := range 20 {
+			Expect(w.state(domain.JobID(fmt.Sprintf("j%d", i)))).To(Equal(domain.JobCompleted))
+		}
+	})
+
+	It("adopts what an earlier leader has started", func() {
+		w := newWorld(1, 6)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=6000 gang=6", Steps: []domain.Step{gang(6, 8)}})
+		w.run(3 * time.Second)
+		w.elect()
+		w.run(8 * time.Second)
+		Expect(w.starts).To(Equal(6))
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	})
+
+	It("lets a running gang be when a new leader cannot reach one member at once", func() {
+		// A new leader stopped such gangs after 1.5 s, though they were running.
+		w := newWorld(1, 6)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=9000 gang=6", Steps: []domain.Step{gang(6, 8)}})
+		w.run(3 * time.Second)
+		w.cut["i-003"] = true
+		w.elect()
+		w.run(7 * time.Second)
+		w.cut["i-003"] = false
+		w.run(12 * time.Second)
+		Expect(w.starts).To(Equal(6))
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	})
+
+	It("makes room for urgent work within the bound of a guarantee", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "low", Priority: 2, Payload: "work=60000", Steps: []domain.Step{step(64, 1)}})
+		w.run(4 * time.Second)
+		// Work that has waited for long may use all workers, the spare ones too.
+		w.submit(domain.JobSpec{ID: "urgent", Payload: "work=1000 gang=4", Steps: []domain.Step{gang(4, 8)}})
+		w.run(4*time.Second + 3400*time.Millisecond)
+		Expect(w.state("urgent")).To(BeElementOf(domain.JobRunning, domain.JobCompleted))
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("does not stop and start the same work in a circle for urgent work that is hopeless", func() {
+		// Hopeless urgent work came last in the order, but ended what had just been started before it.
+		w := newWorld(1, 3)
+		w.run(time.Second)
+		for i := range 30 {
+			w.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprintf("low%d", i)), Priority: 2, Payload: "work=4000",
+				Steps: []domain.Step{step(4, 1)}})
+		}
+		for i := range 6 {
+			w.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprintf("urgent%d", i)), Payload: "work=2000 gang=3", Stretch: 0.1,
+				Steps: []domain.Step{gang(3, 8)}})
+		}
+		w.run(60 * time.Second)
+		Expect(w.starts).To(BeNumerically("<", 3*(30*4+6*3)), "each task starts once, or a few times")
+	})
+})
+
+var _ = DescribeTable("a random run with faults", func(seed int) {
+	w := newWorld(uint64(seed), 12)
+	w.lateBy = 0.05
+	w.run(time.Second)
+	for i := range 60 {
+		id := domain.JobID(fmt.Sprintf("j%d", i))
+		work := 300 + w.random.IntN(4000)
+		n := 1 + w.random.IntN(6)
+		spec := domain.JobSpec{ID: id, Priority: w.random.IntN(3), MaxAttempts: 50}
+		if w.random.IntN(2) == 0 {
+			spec.Payload = fmt.Sprintf("work=%d gang=%d", work, n)
+			spec.Steps = []domain.Step{gang(n, int64(1+w.random.IntN(8)))}
+		} else {
+			spec.Payload = fmt.Sprintf("work=%d", work)
+			spec.Steps = []domain.Step{step(n, int64(1+w.random.IntN(8)))}
+		}
+		w.submit(spec)
+		w.run(w.now + time.Duration(w.random.IntN(500))*time.Millisecond)
+		w.disturb(i)
+	}
+	w.lateBy = 0
+	clear(w.cut)
+	w.run(w.now + 120*time.Second)
+	Expect(w.faults).To(BeEmpty())
+	Expect(w.open()).To(BeEmpty())
+}, seeds(1, 40))
+
+// disturb injects one fault.
+func (w *world) disturb(i int) {
+	victim := w.workers[w.random.IntN(len(w.workers))]
+	switch w.random.IntN(6) {
+	case 0:
+		id := victim.Life.ID
+		w.cut[id] = true
+		w.at(w.now+time.Duration(w.random.IntN(8000))*time.Millisecond, func() { delete(w.cut, id) })
+	case 1:
+		w.elect()
+	case 2:
+		w.replace(victim, i)
+	}
+}
+
+// replace crashes a worker; another lifetime takes its place under the same identifier.
+func (w *world) replace(victim *simworker.Worker, _ int) {
+	victim.Crash(w.now)
+	for i, s := range w.workers {
+		if s == victim {
+			w.workers = append(w.workers[:i], w.workers[i+1:]...)
+			break
+		}
+	}
+	var n int
+	_, err := fmt.Sscanf(victim.Life.ID, "i-%d", &n)
+	Expect(err).NotTo(HaveOccurred())
+	w.at(w.now+2*time.Second, func() { w.addWorker(victim.Life.ID, n) })
+}
+
+func seeds(from, to int) []TableEntry {
+	var out []TableEntry
+	for s := from; s <= to; s++ {
+		out = append(out, Entry(fmt.Sprintf("seed %d", s), s))
+	}
+	return out
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -34,6 +34,7 @@
 	look       bool  // A hold without a wait is needed now.
 	failed     int   // Consecutive failed attempts.
 	avoidUntil time.Duration
+	inherited  bool // Attempts of an earlier leader may run, under a lease that it granted.
 	released   bool // A command that forgets this lifetime is under way.
 }
 
@@ -52,7 +53,10 @@
 
 // leaseOver returns when all leases on the worker are over for certain, those of earlier leaders included.
 func (s *session) leaseOver(lease time.Duration) time.Duration {
-	over := s.created + time.Duration(float64(lease)/slowestClock)
+	over := time.Duration(0)
+	if s.inherited {
+		over = s.created + time.Duration(float64(lease)/slowestClock)
+	}
 	if s.hasClock && s.untilMS > 0 {
 		left := float64(s.untilMS-s.clockMS) / slowestClock
 		over = max(over, s.clockAt+time.Duration(left*float64(time.Millisecond)))
--- /dev/null
+++ b/internal/dispatch/world_test.go
@@ -0,0 +1,302 @@
+package dispatch_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/simworker"
+)
+
+// Times of the simulated surroundings.
+const (
+	commitDelay = 12 * time.Millisecond // A sync at the leader and one at a follower.
+	oneWay      = 500 * time.Microsecond
+	callTimeout = 600 * time.Millisecond
+	reportEvery = 1500 * time.Millisecond
+	tickEvery   = 5 * time.Millisecond
+	wallStart   = 1_700_000_000_000
+)
+
+// world runs one leader after the other over one domain, with simulated workers and a network that fails. It checks at
+// every event what must always hold.
+type world struct {
+	now     time.Duration
+	random  *rand.Rand
+	machine *domain.Machine
+	leader  *dispatch.Leader
+	term    uint64
+	workers []*simworker.Worker
+	gangs   *simworker.Gangs
+	cut     map[string]bool // Workers that nothing reaches, and from which nothing comes.
+	lateBy  float64         // Share of orders that are carried out seconds later, without an answer.
+	queue   events
+	order   int
+	starts  int
+	running map[domain.TaskID]simworker.Event
+	done    map[domain.TaskID]bool // Ends as done that have been committed.
+	alone   int
+	faults  []string
+}
+
+func newWorld(seed uint64, workers int) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 1)), machine: domain.New(), gangs: simworker.NewGangs(), cut: map[string]bool{},
+		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{},
+	}
+	w.gangs.Events = w.observe
+	config := &domain.Config{Version: 1, Document: []byte("{}"), Pools: []domain.Pool{{Name: "pool"}},
+		Workspaces: []domain.Workspace{{Name: "w1", Keys: []string{"k1"}, GuaranteedAccelerators: int64(workers * 4)}}}
+	w.apply(domain.Command{Config: config})
+	for i := range workers {
+		w.addWorker(fmt.Sprintf("i-%03d", i), i)
+	}
+	w.elect()
+	w.at(0, w.tick)
+	return w
+}
+
+func (w *world) addWorker(id string, i int) {
+	life := domain.WorkerLife{ID: id, BornMS: wallStart + w.now.Milliseconds() + 1}
+	rate := 0.98 + 0.02*w.random.Float64()
+	s := simworker.New(life, domain.Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}, rate, w.gangs, w.now)
+	w.workers = append(w.workers, s)
+	w.at(w.now, func() { w.report(s, i) })
+}
+
+// report registers a worker, now and then every reportEvery.
+func (w *world) report(s *simworker.Worker, i int) {
+	if !slices.Contains(w.workers, s) {
+		return
+	}
+	if !w.cut[s.Life.ID] {
+		reg := &domain.Worker{
+			Life: s.Life, Pool: "pool", Address: fmt.Sprintf("10.0.0.%d:8080", i), Zone: fmt.Sprintf("z%d", i%3),
+			Rack: fmt.Sprintf("r%d", i/8), Labels: []string{"a", fmt.Sprintf("r%d", i/8)}, Capacity: s.Capacity,
+		}
+		if !w.machine.Registered(reg) {
+			w.commit(&domain.Command{Register: reg})
+		}
+		clock := s.Clock(w.now)
+		w.at(w.now+commitDelay+oneWay, func() {
+			if x := w.machine.Worker(s.Life.ID); x != nil && x.Life == s.Life {
+				w.leader.Reported(w.time(), s.Life, clock)
+			}
+		})
+	}
+	w.at(w.now+reportEvery, func() { w.report(s, i) })
+}
+
+// elect replaces the leader. What the old one has proposed is lost or committed at once.
+func (w *world) elect() {
+	w.term++
+	w.leader = dispatch.New(w.machine, dispatch.Options{
+		Fence: w.term, Lease: simworker.MaxLease, GangWait: simworker.GangWait, Report: reportEvery,
+		Retention: time.Minute, Log: func(string, ...any) {},
+	}, w.time())
+}
+
+func (w *world) time() dispatch.Time {
+	return dispatch.Time{Mono: w.now, WallMS: wallStart + w.now.Milliseconds()}
+}
+
+func (w *world) submit(spec domain.JobSpec) {
+	spec.Pool, spec.Queue, spec.Workspace = "pool", cmp.Or(spec.Queue, "q"), "w1"
+	if spec.MaxAttempts == 0 {
+		spec.MaxAttempts = 3
+	}
+	if spec.Stretch == 0 {
+		spec.Stretch = 3
+	}
+	w.commit(&domain.Command{Submit: &spec})
+}
+
+// commit applies a command after the delay of the log.
+func (w *world) commit(c *domain.Command) {
+	c.AtMS = w.time().WallMS
+	w.at(w.now+commitDelay, func() { w.apply(*c) })
+}
+
+func (w *world) apply(c domain.Command) {
+	// The log holds encoded commands; what is not encoded must not matter.
+	decoded, err := domain.DecodeCommand(c.Encode())
+	if err != nil {
+		panic(err)
+	}
+	w.noteDone(decoded)
+	r := w.machine.Apply(decoded)
+	if w.leader != nil {
+		w.leader.Applied(w.time(), decoded, r)
+	}
+}
+
+func (w *world) noteDone(c *domain.Command) {
+	if c.End == nil {
+		return
+	}
+	for _, e := range c.End.Ends {
+		if e.Outcome == domain.OutcomeDone {
+			w.done[e.Task] = true
+		}
+	}
+}
+
+func (w *world) tick() {
+	for _, s := range w.workers {
+		s.Advance(w.now)
+	}
+	leader := w.leader
+	out := leader.Tick(w.time())
+	for _, c := range out.Commands {
+		w.commit(c)
+	}
+	for _, c := range out.Calls {
+		w.carry(leader, c)
+	}
+	w.at(w.now+tickEvery, w.tick)
+}
+
+// carry takes a call to its worker and the answer back.
+func (w *world) carry(leader *dispatch.Leader, c dispatch.Call) {
+	i := slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Life.ID == c.Worker.ID })
+	lost := func() {
+		w.at(w.now+c.Wait+callTimeout, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.NoAnswer}) })
+	}
+	if i < 0 || w.cut[c.Worker.ID] {
+		lost()
+		return
+	}
+	s := w.workers[i]
+	if c.Kind != dispatch.CallHold && w.random.Float64() < w.lateBy {
+		lost()
+		late := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
+		w.at(w.now+late, func() {
+			if !s.Crashed() {
+				s.Call(w.now, c)
+			}
+		})
+		return
+	}
+	w.at(w.now+oneWay, func() { w.serve(leader, s, c, w.now+c.Wait) })
+}
+
+// serve answers a call, a hold that waits once something ends.
+func (w *world) serve(leader *dispatch.Leader, s *simworker.Worker, c dispatch.Call, deadline time.Duration) {
+	if s.Crashed() {
+		w.at(w.now+callTimeout, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.NoAnswer}) })
+		return
+	}
+	s.Advance(w.now)
+	if c.Kind == dispatch.CallHold && w.now < deadline && !s.HasEnds(c.Cursor) {
+		first := c
+		first.Wait = 0
+		s.Call(w.now, first) // The lease counts from the arrival.
+		w.at(w.now+tickEvery, func() { w.serve(leader, s, c, deadline) })
+		return
+	}
+	r := s.Call(w.now, c)
+	if w.cut[c.Worker.ID] {
+		w.at(w.now+callTimeout, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.NoAnswer}) })
+		return
+	}
+	w.at(w.now+oneWay, func() { w.reply(leader, c, r) })
+}
+
+func (w *world) reply(leader *dispatch.Leader, c dispatch.Call, r dispatch.Reply) {
+	if leader == w.leader {
+		leader.Reply(w.time(), c.ID, r)
+	}
+}
+
+// observe checks what workers do.
+func (w *world) observe(e simworker.Event) {
+	if !e.Start {
+		if r, runs := w.running[e.Task]; runs && r.Worker == e.Worker && r.Attempt == e.Attempt {
+			delete(w.running, e.Task)
+		}
+		if e.Outcome == domain.OutcomeAlone {
+			w.alone++
+		}
+		return
+	}
+	w.starts++
+	if r, runs := w.running[e.Task]; runs {
+		w.fault("task %s attempt %d started on %s while attempt %d runs on %s", e.Task, e.Attempt, e.Worker.ID, r.Attempt, r.Worker.ID)
+	}
+	if w.done[e.Task] {
+		w.fault("task %s started again after it was done", e.Task)
+	}
+	w.running[e.Task] = e
+	w.checkCapacity(e)
+}
+
+func (w *world) checkCapacity(e simworker.Event) {
+	i := slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Life == e.Worker })
+	if i < 0 {
+		return
+	}
+	used := w.workers[i].Used(func(id domain.TaskID) domain.Resources {
+		return w.machine.Job(id.Job).Spec.Steps[id.Step].Demand()
+	})
+	if !used.Fits(w.workers[i].Capacity) {
+		w.fault("worker %s holds %+v", e.Worker.ID, used)
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].order < q[j].order)
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+func (w *world) at(t time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{t, w.order, do})
+}
+
+// run plays until a time.
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// open returns the jobs that have not ended, sorted.
+func (w *world) open() []string {
+	var out []string
+	for id := range w.machine.Open() {
+		out = append(out, string(id))
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (w *world) state(id domain.JobID) domain.JobState { return w.machine.Job(id).State }
