--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -272,6 +272,15 @@
 	h.remember(st.Config, v.Observers)
 }
 
+// hostsOf names the voters of a configuration.
+func hostsOf(c replica.Config) []string {
+	var out []string
+	for _, v := range c.Voters {
+		out = append(out, v.Host)
+	}
+	return out
+}
+
 // remember keeps the addresses of the hosts, because the seeds of the settings may all be gone one day.
 func (h *Host) remember(c replica.Config, observers []replica.ObserverView) {
 	known := slices.Clone(h.s.Seeds)
@@ -361,7 +370,9 @@
 		}
 		h.logApplied(c, result, e.Index)
 	case replica.EntryConfig:
-		h.remember(h.replica.Status().Config, h.replica.Observers())
+		c := h.replica.Status().Config
+		h.remember(c, h.replica.Observers())
+		h.log.Info("voters_changed", "voters", hostsOf(c), "index", e.Index)
 	}
 	h.metrics.applied.Inc()
 	if waited {
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,67 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/eventlog"
+)
+
+// gate is a writer that blocks until it is opened.
+type gate struct {
+	mu   sync.Mutex
+	b    bytes.Buffer
+	open chan struct{}
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.b.Write(p)
+}
+
+func (g *gate) String() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.b.String()
+}
+
+var _ = Describe("the event log", func() {
+	It("writes one key=value line per event", func() {
+		g := &gate{open: make(chan struct{})}
+		close(g.open)
+		l := eventlog.New(g, "host", "h1")
+		l.Logger.Info("job_ended", "job", "j1", "state", "has spaces")
+		l.Close()
+		Expect(g.String()).To(MatchRegexp(`^time=\S+ event=job_ended host=h1 job=j1 state="has spaces"\n$`))
+	})
+
+	It("never blocks on a reader that stands still, and counts what it drops", func() {
+		g := &gate{open: make(chan struct{})}
+		l := eventlog.New(g)
+		began := time.Now()
+		for range 10000 {
+			l.Logger.Info("event")
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+		Expect(l.Dropped()).To(BeNumerically(">", 5000))
+		close(g.open)
+		Eventually(g.String).Should(ContainSubstring("event=log_lines_dropped total="))
+		l.Close()
+		Expect(strings.Count(g.String(), "event=event\n")).To(BeNumerically("<", 5000))
+	})
+
+	It("drops lines after its end instead of failing", func() {
+		g := &gate{open: make(chan struct{})}
+		close(g.open)
+		l := eventlog.New(g)
+		l.Close()
+		Expect(func() { l.Logger.Info("late") }).NotTo(Panic())
+	})
+})
--- /dev/null
+++ b/internal/standin/fleet/client.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Client submits jobs and asks for them, with retries at other hosts.
+type Client struct {
+	Fronts []string
+	Host   string
+	Key    string
+	client http.Client
+}
+
+// Step is a step of a job.
+type Step map[string]any
+
+// Job builds the body of a submission.
+func Job(spec string, steps ...Step) []byte {
+	data, err := json.Marshal(map[string]any{"spec": spec, "steps": steps})
+	if err != nil {
+		panic(err) // The values are plain.
+	}
+	return data
+}
+
+// Once sends one request to one of the hosts.
+func (c *Client) Once(ctx context.Context, front int, method, path string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	header := map[string]string{"Host": c.Host, "Api-Key": c.Key, "Content-Type": "application/json", "X-Request-Deadline": "3000"}
+	return call(ctx, &c.client, method, "http://"+c.Fronts[front%len(c.Fronts)]+path, body, header)
+}
+
+// Submit sends a job until it is accepted, refused for good, or ctx ends. It returns the last status, 0 for none.
+func (c *Client) Submit(ctx context.Context, path string, body []byte) int {
+	status := 0
+	for i := 0; ctx.Err() == nil; i++ {
+		status, _ = c.Once(ctx, i, http.MethodPost, path, body)
+		if status != 0 && status < 500 && status != http.StatusTooManyRequests {
+			return status
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(150 * time.Millisecond):
+		}
+	}
+	return status
+}
+
+// State asks for the state of a job, empty if there is no clear answer.
+func (c *Client) State(ctx context.Context, front int, path string) (int, string) {
+	status, data := c.Once(ctx, front, http.MethodGet, path, nil)
+	var body struct {
+		State string `json:"state"`
+	}
+	if status == http.StatusOK && json.Unmarshal(data, &body) != nil {
+		return 0, ""
+	}
+	return status, body.State
+}
--- /dev/null
+++ b/internal/standin/fleet/operator.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// callLimit is how long the operator waits for one host.
+const callLimit = time.Second
+
+// Operator sends orders to the control addresses until one acknowledges them.
+type Operator struct {
+	Control []string
+	client  http.Client
+}
+
+// Send repeats an order until it gets a clear answer or ctx ends. It returns the last status, 0 for none.
+func (o *Operator) Send(ctx context.Context, method, path string, body []byte) int {
+	status := 0
+	for i := 0; ctx.Err() == nil; i++ {
+		status, _ = o.Once(ctx, i, method, path, body)
+		if status != 0 && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
+			return status
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return status
+}
+
+// Once sends an order to one of the hosts.
+func (o *Operator) Once(ctx context.Context, host int, method, path string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return call(ctx, &o.client, method, "http://"+o.Control[host%len(o.Control)]+path, body, nil)
+}
+
+// Queue is a route of a configuration.
+type Queue struct {
+	Prefix   string
+	Priority int
+	Attempts int
+}
+
+// Config builds a configuration with one service, one host name, one tenant and its keys.
+func Config(version int64, host, service string, queues []Queue, keys ...string) []byte {
+	var routes []map[string]any
+	for _, q := range queues {
+		routes = append(routes, map[string]any{
+			"name": "r" + q.Prefix, "host": host, "path_prefix": q.Prefix, "type": "non_idempotent", "timeout_ms": 3000,
+			"target_completion_ms": 1000, "priority": q.Priority, "service": service, "max_attempts": q.Attempts, "stretch": 3.0,
+		})
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 64}},
+		"tenants":  []map[string]any{{"name": "t1", "api_keys": keys, "guaranteed": map[string]int{"gpus": 16}}},
+	})
+	if err != nil {
+		panic(err) // The values are plain.
+	}
+	return data
+}
