--- /dev/null
+++ b/internal/domain/machine_test.go
@@ -0,0 +1,251 @@
+package domain_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// fixture is a machine with a worker.
+type fixture struct {
+	*domain.Machine
+	life domain.WorkerLife
+	at   int64
+}
+
+func newFixture() *fixture {
+	f := &fixture{Machine: domain.New(), life: domain.WorkerLife{ID: "w", BornMS: 5}, at: 1000}
+	Expect(f.do(domain.Command{Register: worker("w", 5, "10.0.0.1:80")})).To(Equal(domain.Applied))
+	return f
+}
+
+func worker(id string, born int64, address string) *domain.Worker {
+	return &domain.Worker{Life: domain.WorkerLife{ID: id, BornMS: born}, Pool: "p", Address: address, Zone: "z", Rack: "r",
+		Labels: []string{"a", "r"}, Capacity: domain.Resources{CPU: 1000, MemoryMB: 1000, Accelerators: 8}}
+}
+
+func (f *fixture) do(c domain.Command) domain.Result {
+	f.at += 10
+	c.AtMS = f.at
+	decoded, err := domain.DecodeCommand(c.Encode())
+	Expect(err).NotTo(HaveOccurred())
+	return f.Apply(decoded)
+}
+
+func (f *fixture) submit(spec domain.JobSpec) { f.do(domain.Command{Submit: &spec}) }
+
+func (f *fixture) start(ids ...domain.TaskID) domain.Result {
+	s := &domain.StartAttempts{}
+	for _, id := range ids {
+		s.Assignments = append(s.Assignments, domain.Assignment{Task: id, Worker: f.life})
+	}
+	return f.do(domain.Command{Start: s})
+}
+
+func (f *fixture) end(id domain.TaskID, attempt int, how domain.Outcome, saved string) {
+	f.do(domain.Command{End: &domain.EndAttempts{Worker: f.life, Ends: []domain.AttemptEnd{{Task: id, Attempt: attempt, Outcome: how, Saved: saved}}}})
+}
+
+func id(job string, index int) domain.TaskID {
+	return domain.TaskID{Job: domain.JobID(job), Index: index}
+}
+
+var single = []domain.Step{{Count: 1, Task: domain.Resources{Accelerators: 2}}}
+
+var _ = Describe("the domain", func() {
+	It("keeps the configuration with the highest version", func() {
+		f := newFixture()
+		Expect(f.do(domain.Command{Config: &domain.Config{Version: 7, Document: []byte("seven")}})).To(Equal(domain.Applied))
+		Expect(f.do(domain.Command{Config: &domain.Config{Version: 6, Document: []byte("six")}})).To(Equal(domain.NotChanged))
+		Expect(f.do(domain.Command{Config: &domain.Config{Version: 7, Document: []byte("other")}})).To(Equal(domain.NotChanged))
+		Expect(string(f.Config().Document)).To(Equal("seven"))
+	})
+
+	It("finds the queue with the longest prefix of the path", func() {
+		f := newFixture()
+		f.do(domain.Command{Config: &domain.Config{Version: 1, Queues: []domain.Queue{
+			{Name: "short", Host: "h", PathPrefix: "/a/"}, {Name: "long", Host: "h", PathPrefix: "/a/b/"}}}})
+		q, _ := f.QueueFor("h", "/a/b/1")
+		Expect(q.Name).To(Equal("long"))
+		q, _ = f.QueueFor("h", "/a/c")
+		Expect(q.Name).To(Equal("short"))
+		_, found := f.QueueFor("other", "/a/c")
+		Expect(found).To(BeFalse())
+	})
+
+	It("accepts a job once, however often it is sent", func() {
+		f := newFixture()
+		spec := domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single}
+		Expect(f.do(domain.Command{Submit: &spec})).To(Equal(domain.Applied))
+		f.start(id("j", 0))
+		f.end(id("j", 0), 1, domain.OutcomeDone, "")
+		Expect(f.do(domain.Command{Submit: &spec})).To(Equal(domain.NotChanged))
+		Expect(f.Job("j").State).To(Equal(domain.JobCompleted))
+	})
+
+	It("starts a task once at a time, with numbers that rise", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 9, Steps: single})
+		Expect(f.start(id("j", 0))).To(Equal(domain.Applied))
+		Expect(f.start(id("j", 0))).To(Equal(domain.NotChanged))
+		f.end(id("j", 0), 1, domain.OutcomeStopped, "saved-1")
+		Expect(f.start(id("j", 0))).To(Equal(domain.Applied))
+		t := f.Job("j").Task(id("j", 0))
+		Expect(t.Attempt).To(Equal(2))
+		Expect(t.Saved).To(Equal("saved-1"))
+		f.end(id("j", 0), 1, domain.OutcomeDone, "")
+		Expect(f.Job("j").State).To(Equal(domain.JobRunning), "the end of an earlier attempt is late")
+	})
+
+	It("counts what is on a worker until its end is listed", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 9, Steps: []domain.Step{{Count: 2, Gang: true, Task: domain.Resources{Accelerators: 3}}}})
+		f.start(id("j", 0), id("j", 1))
+		f.end(id("j", 0), 1, domain.OutcomeDone, "")
+		Expect(f.Job("j").State).To(Equal(domain.JobCompleted), "one member stands for the gang")
+		Expect(f.Worker("w").Free().Accelerators).To(Equal(int64(5)))
+		f.end(id("j", 1), 1, domain.OutcomeDone, "")
+		Expect(f.Worker("w").Free().Accelerators).To(Equal(int64(8)))
+	})
+
+	It("starts a gang only as a whole, under one number", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 9, Steps: []domain.Step{{Count: 2, Gang: true}}})
+		f.start(id("j", 0), id("j", 1))
+		f.end(id("j", 0), 1, domain.OutcomeBroken, "")
+		Expect(f.start(id("j", 0), id("j", 1))).To(Equal(domain.NotChanged), "the other member may still run")
+		f.end(id("j", 1), 1, domain.OutcomeFailed, "")
+		Expect(f.start(id("j", 0), id("j", 1))).To(Equal(domain.Applied))
+		Expect(f.Job("j").Task(id("j", 0)).Attempt).To(Equal(2))
+		Expect(f.Job("j").Task(id("j", 1)).Attempt).To(Equal(2))
+		Expect(f.Job("j").Task(id("j", 0)).Failed).To(Equal(1))
+	})
+
+	DescribeTable("counts only failures against the attempts", func(how domain.Outcome, want domain.JobState) {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
+		f.start(id("j", 0))
+		f.end(id("j", 0), 1, how, "")
+		Expect(f.Job("j").State).To(Equal(want))
+	},
+		Entry("done", domain.OutcomeDone, domain.JobCompleted),
+		Entry("failed", domain.OutcomeFailed, domain.JobFailed),
+		Entry("stopped", domain.OutcomeStopped, domain.JobRunning),
+		Entry("lapsed", domain.OutcomeLapsed, domain.JobRunning),
+		Entry("alone", domain.OutcomeAlone, domain.JobRunning),
+		Entry("absent", domain.OutcomeAbsent, domain.JobRunning),
+		Entry("lost", domain.OutcomeLost, domain.JobRunning),
+	)
+
+	It("lets tasks that run until the job is cancelled fail without limit", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: []domain.Step{{Count: 1, LongRunning: true}}})
+		for n := 1; n < 5; n++ {
+			f.start(id("j", 0))
+			f.end(id("j", 0), n, domain.OutcomeFailed, "")
+			Expect(f.Job("j").State).To(Equal(domain.JobRunning))
+		}
+	})
+
+	It("starts no step before those that it depends on are done", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: []domain.Step{{Count: 2}, {Count: 1, DependsOn: []int{0}}}})
+		second := domain.TaskID{Job: "j", Step: 1}
+		f.start(id("j", 0), id("j", 1))
+		f.end(id("j", 0), 1, domain.OutcomeDone, "")
+		Expect(f.start(second)).To(Equal(domain.NotChanged))
+		f.end(id("j", 1), 1, domain.OutcomeDone, "")
+		Expect(f.start(second)).To(Equal(domain.Applied))
+	})
+
+	It("starts nothing on a worker that leaves, is in a zone that is out, or lives another life", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
+		f.do(domain.Command{Zone: &domain.SetZone{Zone: "z", Out: true}})
+		Expect(f.start(id("j", 0))).To(Equal(domain.NotChanged))
+		f.do(domain.Command{Zone: &domain.SetZone{Zone: "z"}})
+		f.life.BornMS = 6
+		Expect(f.start(id("j", 0))).To(Equal(domain.NotChanged))
+		f.life.BornMS = 5
+		leaving := worker("w", 5, "10.0.0.1:80")
+		leaving.Draining = true
+		f.do(domain.Command{Register: leaving})
+		f.do(domain.Command{Register: worker("w", 5, "10.0.0.1:80")})
+		Expect(f.Worker("w").Draining).To(BeTrue(), "a late report does not bring it back")
+		Expect(f.start(id("j", 0))).To(Equal(domain.NotChanged))
+	})
+
+	It("ends what ran on a lifetime when a later one takes its place, and ignores late reports of the earlier one", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
+		f.start(id("j", 0))
+		f.do(domain.Command{Register: worker("w", 9, "10.0.0.1:80")})
+		Expect(f.Job("j").Task(id("j", 0)).Occupied()).To(BeFalse())
+		Expect(f.do(domain.Command{Register: worker("w", 5, "10.0.0.1:80")})).To(Equal(domain.NotChanged))
+		Expect(f.Worker("w").Life.BornMS).To(Equal(int64(9)))
+		f.do(domain.Command{Register: worker("x", 12, "10.0.0.1:80")})
+		Expect(f.Worker("w")).To(BeNil(), "another worker answers at its address")
+		Expect(f.do(domain.Command{Register: worker("w", 9, "10.0.0.1:80")})).To(Equal(domain.NotChanged))
+	})
+
+	It("keeps an ended job until it is purged, but not while something of it may run", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
+		f.start(id("j", 0))
+		f.do(domain.Command{Cancel: &domain.CancelJob{Job: "j"}})
+		f.do(domain.Command{Purge: &domain.PurgeEndedJobs{BeforeMS: f.at + 1000}})
+		Expect(f.Job("j")).NotTo(BeNil())
+		f.end(id("j", 0), 1, domain.OutcomeStopped, "")
+		f.do(domain.Command{Purge: &domain.PurgeEndedJobs{BeforeMS: 1}})
+		Expect(f.Job("j").State).To(Equal(domain.JobCancelled))
+		f.do(domain.Command{Purge: &domain.PurgeEndedJobs{BeforeMS: f.at + 1000}})
+		Expect(f.Job("j")).To(BeNil())
+	})
+
+	It("completes a scheduled job after its last occurrence", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single, RepeatCount: 2, StartAtMS: 1, IntervalMS: 1})
+		Expect(f.Job("j").Occurrences).To(BeEmpty())
+		for k := range 2 {
+			f.do(domain.Command{Release: &domain.ReleaseOccur{Job: "j", Count: k + 1}})
+			task := domain.TaskID{Job: "j", Occurrence: k}
+			f.start(task)
+			f.end(task, 1, domain.OutcomeDone, "")
+		}
+		Expect(f.Job("j").State).To(Equal(domain.JobCompleted))
+	})
+
+	It("is the same after a snapshot is restored", func() {
+		f := newFixture()
+		f.do(domain.Command{Config: &domain.Config{Version: 7, Document: []byte("seven"), Workspaces: []domain.Workspace{{Name: "t", Keys: []string{"k"}}}}})
+		for i := range 3 {
+			f.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprint("j", i)), MaxAttempts: 1, Steps: single})
+		}
+		f.start(id("j0", 0), id("j1", 0))
+		f.do(domain.Command{Cancel: &domain.CancelJob{Job: "j1"}})
+		f.do(domain.Command{Zone: &domain.SetZone{Zone: "z", Out: true}})
+		other := domain.New()
+		Expect(other.Restore(f.Snapshot())).To(Succeed())
+		Expect(other.Worker("w").Free()).To(Equal(f.Worker("w").Free()))
+		Expect(other.Worker("w").Attempts()).To(Equal(f.Worker("w").Attempts()))
+		Expect(other.Open()).To(HaveLen(2))
+		Expect(other.BusyEnded()).To(HaveKey(domain.JobID("j1")))
+		Expect(other.ZoneOut("z")).To(BeTrue())
+		w, _ := other.WorkspaceOf("k")
+		Expect(w).To(Equal("t"))
+		Expect(other.Snapshot()).To(HaveLen(len(f.Snapshot())))
+	})
+
+	It("refuses a snapshot that cannot be read", func() {
+		Expect(domain.New().Restore([]byte("no"))).NotTo(Succeed())
+	})
+
+	DescribeTable("does not take a name for a task that is none", func(name string) {
+		_, err := domain.ParseTaskID(name)
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("too few parts", "j.0.1"), Entry("a sign", "j.0.1.-2"), Entry("a word", "j.0.x.2"), Entry("nothing", ""))
+})
--- /dev/null
+++ b/internal/placement/decide_test.go
@@ -0,0 +1,247 @@
+package placement_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/placement"
+)
+
+const now = 1_000_000
+
+// fixture builds views: racks of four workers with 8 accelerators each.
+type fixture struct {
+	view  placement.View
+	tasks map[string][]placement.Running
+	next  uint64
+}
+
+func newFixture(workers int) *fixture {
+	f := &fixture{tasks: map[string][]placement.Running{}}
+	total := domain.Resources{CPU: 32000, MemoryMB: 64000, Accelerators: 8}
+	for i := range workers {
+		rack := fmt.Sprintf("r%d", i/4)
+		f.view.Workers = append(f.view.Workers, &placement.Worker{
+			Life: domain.WorkerLife{ID: fmt.Sprintf("w%02d", i)}, Pool: "p", Zone: "z", Rack: rack, Labels: []string{"a", rack},
+			Free: total, Total: total, Usable: true,
+		})
+	}
+	f.view.NowMS = now
+	f.view.PerWorker = func(*placement.Unit, *placement.Worker) int { return 0 }
+	f.view.Tasks = func(w *placement.Worker) []placement.Running { return f.tasks[w.Life.ID] }
+	return f
+}
+
+func demand(accelerators int64) domain.Resources {
+	return domain.Resources{CPU: 1000, MemoryMB: 1000, Accelerators: accelerators}
+}
+
+// occupy puts a task on a worker.
+func (f *fixture) occupy(worker int, accelerators int64, priority int) domain.TaskID {
+	w := f.view.Workers[worker]
+	id := domain.TaskID{Job: domain.JobID(fmt.Sprintf("on-%d-%d", worker, len(f.tasks[w.Life.ID])))}
+	f.tasks[w.Life.ID] = append(f.tasks[w.Life.ID], placement.Running{Task: id, Demand: demand(accelerators), Priority: priority, Members: 1, UnsavedS: 3})
+	w.Free = w.Free.Minus(demand(accelerators))
+	return id
+}
+
+// unit adds waiting work.
+func (f *fixture) unit(name string, priority int, s domain.Step) *placement.Unit {
+	f.next++
+	s.EstimateMS = 2000
+	j := &domain.Job{Sequence: f.next, Spec: domain.JobSpec{ID: domain.JobID(name), Pool: "p", Priority: priority, Steps: []domain.Step{s}},
+		Occurrences: []*domain.Occurrence{{Steps: [][]domain.Task{make([]domain.Task, s.Count)}}}}
+	u := &placement.Unit{Job: j, RunMS: 2000, WaitedMS: 100, DueMS: now + 10000, MayReclaim: priority == 0, Guaranteed: priority == 0}
+	for i := range s.Count {
+		u.Indexes = append(u.Indexes, i)
+	}
+	f.view.Units = append(f.view.Units, u)
+	return u
+}
+
+// placed returns by job the workers that a plan starts its tasks on.
+func placed(p placement.Plan) map[string][]string {
+	out := map[string][]string{}
+	for _, s := range p.Starts {
+		for _, a := range s.Assignments {
+			out[string(a.Task.Job)] = append(out[string(a.Task.Job)], a.Worker.ID)
+		}
+	}
+	return out
+}
+
+func tasks(count int, accelerators int64) domain.Step {
+	return domain.Step{Count: count, Task: demand(accelerators)}
+}
+
+func gang(count int, accelerators int64) domain.Step {
+	return domain.Step{Count: count, Task: demand(accelerators), Gang: true}
+}
+
+var _ = Describe("placement", func() {
+	It("fills the fullest worker first, so that whole workers stay free", func() {
+		f := newFixture(4)
+		f.occupy(2, 4, 1)
+		f.unit("j", 1, tasks(4, 1))
+		Expect(placed(placement.Decide(&f.view))["j"]).To(Equal([]string{"w02", "w02", "w02", "w02"}))
+	})
+
+	It("starts a gang as a whole or not at all", func() {
+		f := newFixture(4)
+		f.occupy(0, 1, 1)
+		f.occupy(1, 1, 1)
+		f.unit("whole", 1, gang(3, 8)).DueMS = now
+		Expect(placed(placement.Decide(&f.view))).To(BeEmpty())
+		f.view.Workers[0].Free = f.view.Workers[0].Total
+		Expect(placed(placement.Decide(&f.view))["whole"]).To(HaveLen(3))
+	})
+
+	It("puts a gang that prefers one rack into one, the fullest in which it fits", func() {
+		f := newFixture(8)
+		f.occupy(4, 8, 1)
+		s := gang(3, 8)
+		s.SameRack = true
+		f.unit("j", 0, s)
+		Expect(placed(placement.Decide(&f.view))["j"]).To(ConsistOf("w05", "w06", "w07"))
+	})
+
+	It("waits for the rack of the data while that is faster, and then runs elsewhere", func() {
+		f := newFixture(8)
+		for i := range 4 {
+			f.occupy(i, 8, 0)
+		}
+		s := tasks(1, 1)
+		s.DataRack = "r0"
+		u := f.unit("j", 1, s)
+		Expect(placed(placement.Decide(&f.view))).To(BeEmpty())
+		u.WaitedMS = 2*2000 + 1
+		Expect(placed(placement.Decide(&f.view))["j"]).To(HaveLen(1))
+	})
+
+	It("keeps to labels, spread limits and pools", func() {
+		f := newFixture(4)
+		f.view.Workers[1].Labels = []string{"b", "r0"}
+		s := tasks(3, 1)
+		s.Label = "b"
+		s.PerWorkerLimit = 2
+		f.unit("j", 0, s)
+		f.unit("other", 0, tasks(1, 1)).Job.Spec.Pool = "q"
+		p := placed(placement.Decide(&f.view))
+		Expect(p["j"]).To(Equal([]string{"w01", "w01"}))
+		Expect(p["other"]).To(BeEmpty())
+	})
+
+	It("uses no worker that is not usable", func() {
+		f := newFixture(2)
+		f.view.Workers[0].Usable, f.view.Workers[1].Usable = false, false
+		f.unit("j", 0, tasks(1, 1))
+		Expect(placed(placement.Decide(&f.view))).To(BeEmpty())
+	})
+
+	It("tries a task last where it has failed", func() {
+		f := newFixture(2)
+		u := f.unit("j", 0, tasks(1, 1))
+		u.Job.Occurrences[0].Steps[0][0].FailedOn = []string{"w00"}
+		f.occupy(0, 4, 1) // Fuller, but tried.
+		Expect(placed(placement.Decide(&f.view))["j"]).To(Equal([]string{"w01"}))
+	})
+
+	Context("when urgent work has no room", func() {
+		It("ends the cheapest work of lower priority, and nothing of its own", func() {
+			f := newFixture(2)
+			f.occupy(0, 8, 0)
+			low := f.occupy(1, 1, 2)
+			f.occupy(1, 7, 0)
+			f.unit("j", 0, tasks(1, 1))
+			p := placement.Decide(&f.view)
+			Expect(p.Starts).To(BeEmpty())
+			Expect(p.Stops).To(HaveLen(1))
+			Expect(p.Stops[0].Task).To(Equal(low))
+		})
+
+		It("counts a member of a large gang as the end of the whole gang", func() {
+			f := newFixture(2)
+			f.occupy(0, 8, 2)
+			single := f.occupy(1, 8, 2)
+			f.tasks["w00"][0].Members = 8
+			f.tasks["w00"][0].UnsavedS = 1
+			f.unit("j", 0, tasks(1, 8))
+			p := placement.Decide(&f.view)
+			Expect(p.Stops).To(HaveLen(1))
+			Expect(p.Stops[0].Task).To(Equal(single))
+		})
+
+		It("keeps what is being freed from later work, and stops nothing twice", func() {
+			f := newFixture(1)
+			f.occupy(0, 8, 2)
+			f.tasks["w00"][0].Stopping = true
+			f.view.Workers[0].Stopping = demand(8)
+			f.unit("urgent", 0, tasks(1, 8))
+			f.unit("small", 1, tasks(1, 0)).DueMS = now
+			p := placement.Decide(&f.view)
+			Expect(p.Stops).To(BeEmpty())
+			Expect(placed(p)["urgent"]).To(BeEmpty())
+		})
+
+		It("makes room for a gang in one rack", func() {
+			f := newFixture(8)
+			for i := range 8 {
+				f.occupy(i, 1, 2)
+			}
+			f.tasks["w01"][0].UnsavedS = 100
+			s := gang(3, 8)
+			s.SameRack = true
+			u := f.unit("j", 0, s)
+			p := placement.Decide(&f.view)
+			Expect(p.Stops).To(HaveLen(3))
+			for _, stop := range p.Stops {
+				Expect(stop.Task.Job).NotTo(Equal(f.tasks["w01"][0].Task.Job))
+				Expect(stop.For.Job).To(Equal(u.Job.Spec.ID))
+			}
+		})
+
+		It("ends nothing for a gang that could not start even then", func() {
+			f := newFixture(2)
+			f.occupy(0, 1, 2)
+			f.occupy(1, 1, 0)
+			f.unit("j", 0, gang(2, 8))
+			Expect(placement.Decide(&f.view).Stops).To(BeEmpty())
+		})
+	})
+
+	It("keeps a share of the workers whole for urgent work, unless the other work gets late", func() {
+		f := newFixture(8)
+		u := f.unit("j", 1, tasks(8, 8))
+		Expect(placed(placement.Decide(&f.view))["j"]).To(HaveLen(6))
+		u.DueMS = now + 3000
+		Expect(placed(placement.Decide(&f.view))["j"]).To(HaveLen(8))
+	})
+
+	It("holds room for a large gang that gets late, against small work that keeps coming", func() {
+		// Each gap was filled by small work before the gang fitted.
+		f := newFixture(8)
+		for i := range 8 {
+			f.occupy(i, 1, 1)
+		}
+		f.unit("large", 1, gang(3, 8)).DueMS = now + 1000
+		f.unit("small", 2, tasks(80, 1)).DueMS = now + 1000
+		p := placed(placement.Decide(&f.view))
+		Expect(p["large"]).To(BeEmpty())
+		used := map[string]bool{}
+		for _, w := range p["small"] {
+			used[w] = true
+		}
+		Expect(used).To(HaveLen(5))
+	})
+
+	It("puts what has nothing left to earn behind the rest", func() {
+		f := newFixture(1)
+		u := f.unit("hopeless", 1, tasks(1, 8))
+		u.Hopeless, u.DueMS = true, now-100000
+		f.unit("j", 2, tasks(1, 8))
+		Expect(placed(placement.Decide(&f.view))).To(HaveKey("j"))
+	})
+})
