Find the leader through hosts that do not lead; keep learned hosts; spread voters over zones

Two seeds that had been replaced as voters restarted with only the seeds in memory. Observers ask for the log, and hosts that do not lead ignored them, so they never caught up; entry hosts let the answer of such a seed overwrite the list that another host had told. Ruled out: load (leader at 0.18 of 0.64 cores), the loss of acknowledged entries. Change: a host without a leader asks the known hosts for others; entry hosts add to their list unless the leader tells it; the voters of the restored log are known at the start; zones are learned from messages, so that founding members count in theirs.

--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -81,6 +81,7 @@
 	reconsidered time.Duration
 	known        []string // Hosts that keep the state, as far as known here.
 	stopping     bool
+	zones        map[string]string // By host; founding members do not know each other's.
 
 	kick  chan struct{}
 	disk  *diskQueue
@@ -106,7 +107,7 @@
 	}
 	h := &Host{
 		s: s, log: log, clock: suspend.New(), workers: workers, metrics: m, store: store,
-		machine: domain.New(), waiting: map[uint64]waiter{}, kick: make(chan struct{}, 1), disk: newDiskQueue(),
+		machine: domain.New(), waiting: map[uint64]waiter{}, zones: map[string]string{s.Address: s.Zone}, kick: make(chan struct{}, 1), disk: newDiskQueue(),
 	}
 	h.s.Dispatch.Log = func(event string, kv ...any) { log.Info(event, kv...) }
 	incarnation := state.Incarnation
@@ -115,7 +116,6 @@
 			return nil, errors.Join(err, store.Close())
 		}
 	}
-	h.known = slices.Clone(s.Seeds)
 	founding := replica.Config{}
 	for _, seed := range s.Seeds {
 		founding.Voters = append(founding.Voters, replica.Member{Host: seed, Incarnation: replica.FoundingIncarnation, Disk: true})
@@ -126,6 +126,7 @@
 		SnapshotEntries: snapshotEntries, Random: rand.Int64N,
 	}, state.Groups[groupName], h.clock.Now())
 	h.peers = newPeers(s.PeerPort, s.Address, log)
+	h.remember(h.replica.Status().Config, nil)
 	log.Info("state_opened", "incarnation", incarnation, "founding", s.Founding, "last_index", h.replica.Status().LastIndex,
 		"seeds", s.Seeds)
 	return h, nil
@@ -146,6 +147,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return h.drive(ctx) })
 	g.Go(func() error { return h.writeRecords(ctx) })
+	g.Go(func() error { return h.seekLeader(ctx) })
 	err := g.Wait()
 	h.peers.close()
 	if closed := h.store.Close(); err == nil || errors.Is(err, context.Canceled) {
@@ -263,8 +265,12 @@
 	}
 	h.reconsidered = now.Mono
 	st := h.replica.Status()
+	voters := slices.Clone(st.Config.Voters)
+	for i := range voters {
+		voters[i].Zone = h.zones[voters[i].Host]
+	}
 	v := membership.View{
-		Self: h.s.Address, Voters: st.Config.Voters, Observers: h.replica.Observers(),
+		Self: h.s.Address, Voters: voters, Observers: h.replica.Observers(),
 		Silent: h.replica.SilentVoters(voterSilence), Target: membership.Target(h.s.Losses),
 	}
 	desired := membership.Desired(v)
@@ -290,10 +296,14 @@
 	for _, o := range observers {
 		known = append(known, o.Member.Host)
 	}
+	h.setKnown(known)
+}
+
+func (h *Host) setKnown(known []string) {
 	slices.Sort(known)
 	known = slices.Compact(known)
 	if !slices.Equal(known, h.known) {
-		h.log.Info("known_hosts_changed", "hosts", known, "voters", len(c.Voters))
+		h.log.Info("known_hosts_changed", "hosts", known)
 	}
 	h.known = known
 	h.replica.SetContacts(known)
--- a/internal/corehost/peers.go
+++ b/internal/corehost/peers.go
@@ -133,6 +133,9 @@
 			h.log.Info("peer_message_unreadable", "from", b.From, "cause", err.Error())
 			continue
 		}
+		if m.From.Zone != "" {
+			h.zones[m.From.Host] = m.From.Zone
+		}
 		h.replica.Step(now.Mono, m)
 	}
 	if err := h.pump(now); err != nil {
--- /dev/null
+++ b/internal/corehost/seek.go
@@ -0,0 +1,68 @@
+package corehost
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardwalk/mustardwalk/internal/rpc"
+)
+
+// Times of the search for the other hosts.
+const (
+	seekEvery   = time.Second
+	seekTimeout = 700 * time.Millisecond
+)
+
+// seekLeader asks the known hosts for others as long as no leader is known. A host that was away for long, or that lost
+// its disk, may know only hosts that do not lead, and an observer gets the log from the leader alone.
+func (h *Host) seekLeader(ctx context.Context) error {
+	client := rpc.NewClient(seekTimeout)
+	ticker := time.NewTicker(seekEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		h.mu.Lock()
+		known, leader := slices.Clone(h.known), h.replica.Leader()
+		h.mu.Unlock()
+		if leader != "" {
+			continue
+		}
+		if learned := h.askHosts(ctx, client, known); len(learned) > 0 {
+			h.mu.Lock()
+			h.setKnown(append(slices.Clone(h.known), learned...))
+			h.mu.Unlock()
+		}
+	}
+}
+
+// askHosts returns the hosts that other hosts know.
+func (h *Host) askHosts(ctx context.Context, client *http.Client, hosts []string) []string {
+	answers := make([][]string, len(hosts))
+	var g errgroup.Group
+	for i, host := range hosts {
+		if host == h.s.Address {
+			continue
+		}
+		g.Go(func() error {
+			r, err := rpc.NewDomainProtobufClient("http://"+peerAddress(host, h.s.PeerPort), client).Locate(ctx, &rpc.LocateRequest{})
+			if err != nil {
+				return nil // Others may answer; the next round asks this host again.
+			}
+			answers[i] = r.Hosts
+			if r.Leader != "" {
+				answers[i] = append(answers[i], r.Leader)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // The functions return no errors.
+	return slices.Concat(answers...)
+}
--- a/internal/entryhost/entry.go
+++ b/internal/entryhost/entry.go
@@ -72,7 +72,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.s.Seeds = seeds
-	h.learn(nil)
+	h.learn(h.known)
 }
 
 // Run follows the leader until ctx ends.
@@ -127,14 +127,15 @@
 		}
 		return false
 	}
-	h.learn(r.Hosts)
 	if !r.Leads {
+		h.learn(append(slices.Clone(h.known), r.Hosts...))
 		if h.leader == host {
 			h.leader = ""
 			h.log.Info("leader_lost", "host", host, "cause", "it no longer leads", "names", r.Leader)
 		}
 		return false
 	}
+	h.learn(r.Hosts)
 	h.follow(host, sent)
 	return true
 }
@@ -152,12 +153,10 @@
 	}
 }
 
-// learn keeps the hosts that keep the state, and the seeds.
+// learn keeps the hosts that keep the state, and the seeds. The leader's word replaces what was known; that of other hosts,
+// which may be out of date, adds to it.
 func (h *Host) learn(hosts []string) {
 	known := append(slices.Clone(h.s.Seeds), hosts...)
-	if len(hosts) == 0 {
-		known = append(known, h.known...)
-	}
 	slices.Sort(known)
 	h.known = slices.Compact(known)
 }
