soak: the real programs as processes under random faults from outside

Three core hosts, two entry hosts and six workers on loopback; faults by signals (kill, pause, planned stop, lost disk) and by proxies in front of every listener (silent, one way, reset, delayed). Checked while it runs: no task twice at a time, none after its job was shown as completed, none of a refused job, no older configuration after an acknowledgement, every accepted job completed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test demo generate format lint proof measure capacity clean
+.PHONY: all build test demo generate format lint proof soak measure capacity clean
 
 all: build
 
@@ -44,5 +44,10 @@
 capacity:
 	$(GO) run ./internal/capacity/cmd/capacity
 
+# The fault soak over real processes; SEEDS and FIRST_SEED change the set. Logs of failed seeds stay in soak-failures.
+soak: SEEDS = 10
+soak: build
+	$(GO) run ./soak/cmd/soak --seeds=$(SEEDS) --first-seed=$(FIRST_SEED)
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/soak/cmd/soak/main.go
@@ -0,0 +1,76 @@
+// Command soak runs the fault soak over a range of seeds and keeps the logs of those that fail.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardwalk/mustardwalk/soak"
+)
+
+func main() {
+	first := kingpin.Flag("first-seed", "First seed.").Default("1").Uint64()
+	seeds := kingpin.Flag("seeds", "Number of seeds.").Default("10").Int()
+	atOnce := kingpin.Flag("at-once", "Runs at the same time; each has five processes.").Default("4").Int()
+	faults := kingpin.Flag("faults", "How long faults go on in a run.").Default("30s").Duration()
+	folder := kingpin.Flag("folder", "For logs of runs that fail.").Default("soak-failures").String()
+	program := kingpin.Flag("program", "Path of mustardwalkd.").Default("bin/mustardwalkd").String()
+	kingpin.Parse()
+	var g errgroup.Group
+	g.SetLimit(*atOnce)
+	var mu sync.Mutex
+	failed, jobs, injected := 0, 0, 0
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		g.Go(func() error {
+			r, where, err := play(seed, *program, *folder, *faults)
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", seed, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			jobs, injected = jobs+r.Jobs, injected+r.Faults
+			fmt.Printf("seed=%d jobs=%d faults=%d violations=%d\n", seed, r.Jobs, r.Faults, len(r.Violations))
+			for _, v := range r.Violations {
+				fmt.Printf("  %s\n", v)
+			}
+			if len(r.Violations) > 0 {
+				failed++
+				fmt.Printf("  logs: %s\n", where)
+			}
+			return nil
+		})
+	}
+	err := g.Wait()
+	fmt.Printf("runs=%d failed=%d jobs=%d faults=%d\n", *seeds, failed, jobs, injected)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+	}
+	if err != nil || failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// play runs one seed. The folder of a clean run is removed.
+func play(seed uint64, program, folder string, faults time.Duration) (soak.Report, string, error) {
+	where := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
+	if err := os.RemoveAll(where); err != nil {
+		return soak.Report{}, where, err
+	}
+	if err := os.MkdirAll(where, 0o755); err != nil {
+		return soak.Report{}, where, err
+	}
+	o := soak.Options{Seed: seed, Program: program, Folder: where, Faults: faults, Settle: 40 * time.Second, Workers: 6}
+	r, err := soak.Run(context.Background(), o)
+	if err == nil && len(r.Violations) == 0 {
+		err = os.RemoveAll(where)
+	}
+	return r, where, err
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Fault is what a proxy does to the connections through it.
+type Fault int
+
+// Faults.
+const (
+	Pass     Fault = iota
+	Silent         // Bytes are held, both ways, and connections stay open.
+	OneWay         // Bytes towards the server pass, answers are held.
+	Reset          // Connections are reset, new ones too.
+	Delayed        // Bytes are held for a while.
+	faultEnd       // Number of faults.
+)
+
+var faultNames = [...]string{"pass", "silent", "one_way", "reset", "delayed"}
+
+// String returns the name for logs.
+func (f Fault) String() string { return faultNames[f] }
+
+// delay is how long a delayed proxy holds each piece: more than a heartbeat, less than an election timeout.
+const delay = 150 * time.Millisecond
+
+// Proxy forwards connections to a server and disturbs them.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	fault   Fault
+	changed chan struct{} // Closed when the fault changes.
+	conns   map[net.Conn]bool
+	closed  bool
+}
+
+// NewProxy listens on an address and forwards to a target.
+func NewProxy(listen, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp4", listen)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Set changes the fault for all connections.
+func (p *Proxy) Set(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if f == Reset {
+		p.resetAll()
+	}
+}
+
+// Close ends the proxy with its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close() // Closed once.
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.resetAll()
+}
+
+// resetAll resets all connections. The caller holds the lock.
+func (p *Proxy) resetAll() {
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // The close then resets; the connection may be gone already.
+		}
+		_ = c.Close()
+	}
+	clear(p.conns)
+}
+
+func (p *Proxy) keep(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.fault == Reset {
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.forward(c)
+	}
+}
+
+func (p *Proxy) forward(client net.Conn) {
+	defer client.Close()
+	if !p.keep(client) {
+		return
+	}
+	server, err := net.DialTimeout("tcp4", p.target, time.Second)
+	if err != nil {
+		return
+	}
+	defer server.Close()
+	if !p.keep(server) {
+		return
+	}
+	done := make(chan struct{}, 2)
+	go func() { p.copy(server, client, false); done <- struct{}{} }()
+	go func() { p.copy(client, server, true); done <- struct{}{} }()
+	<-done
+}
+
+// copy moves bytes. Answers tells the direction.
+func (p *Proxy) copy(to io.Writer, from io.Reader, answers bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.hold(answers)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hold waits as long as the fault holds bytes of a direction.
+func (p *Proxy) hold(answers bool) {
+	for {
+		p.mu.Lock()
+		fault, changed, closed := p.fault, p.changed, p.closed
+		p.mu.Unlock()
+		switch {
+		case closed:
+			return
+		case fault == Delayed:
+			time.Sleep(delay)
+			return
+		case fault == Silent || (fault == OneWay && answers):
+			<-changed
+		default:
+			return
+		}
+	}
+}
