dispatch: repeat no start whose loss is being committed; call workers again that were cut off and run nothing

Ruled out: clocks slower than allowed (the worker's own list showed its other attempts lapsed in time). Change: nothing is ordered on a worker while the loss of its attempts is being committed; a worker that reports and has failed calls is called until it answers. Tests: dispatch, 'repeats no start whose loss is being committed' and 'uses a worker again that was cut off', failed before.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -140,7 +140,7 @@
 		}
 	case c.End != nil:
 		if s := l.sessions[c.End.Worker.ID]; s != nil && s.life == c.End.Worker {
-			s.ending = false
+			s.ending, s.lapsing = false, false
 			s.nextHold = now.Mono
 		}
 		for _, e := range c.End.Ends {
@@ -355,7 +355,7 @@
 			ends = append(ends, e)
 		}
 		slices.SortFunc(ends, func(a, b domain.AttemptEnd) int { return a.Task.Compare(b.Task) })
-		s.ending = true
+		s.ending, s.lapsing = true, true
 		l.o.Log("leases_over", "worker", s.life.ID, "attempts", len(ends), "silent_ms", (now.Mono - s.heard).Milliseconds())
 		l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.life, Ends: ends}})
 	}
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -118,6 +118,49 @@
 		Expect(w.faults).To(BeEmpty())
 	})
 
+	It("repeats no start whose loss is being committed", func() {
+		// The worker answered again while the loss was under way; the start was sent once more, and the task began elsewhere too.
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		var victim string
+		w.gangs.Events = func(e simworker.Event) {
+			if e.Start && victim == "" {
+				victim = e.Worker.ID // It holds a lease and is cut off; a second start to it gets lost.
+			}
+			w.observe(e)
+		}
+		w.submit(domain.JobSpec{ID: "first", Payload: "work=60000", Steps: []domain.Step{step(1, 1)}})
+		w.run(1500 * time.Millisecond)
+		w.cut[victim] = true
+		w.submit(domain.JobSpec{ID: "second", Payload: "work=60000", Steps: []domain.Step{step(1, 1)}})
+		w.run(2 * time.Second)
+		w.commits = 700 * time.Millisecond
+		w.lost = func() {
+			w.heal(victim)
+			w.at(w.now+100*time.Millisecond, func() { w.cut[victim] = true })
+		}
+		w.run(30 * time.Second)
+		Expect(w.starts).To(BeNumerically(">", 2))
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("uses a worker again that was cut off and runs nothing", func() {
+		// Such a worker got no calls, so that its unanswered ones were held against it for good.
+		w := newWorld(1, 4)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "first", Payload: "work=60000 gang=4", Steps: []domain.Step{gang(4, 8)}})
+		w.run(2 * time.Second)
+		w.cut["i-001"] = true
+		w.run(15 * time.Second)
+		w.commit(&domain.Command{Cancel: &domain.CancelJob{Job: "first"}})
+		delete(w.cut, "i-001")
+		w.run(18 * time.Second)
+		w.submit(domain.JobSpec{ID: "second", Payload: "work=1000 gang=4", Steps: []domain.Step{gang(4, 8)}})
+		w.run(22 * time.Second)
+		Expect(w.state("second")).To(Equal(domain.JobCompleted))
+		Expect(w.faults).To(BeEmpty())
+	})
+
 	It("continues a task from its checkpoint on another worker", func() {
 		w := newWorld(1, 2)
 		w.run(time.Second)
@@ -244,7 +287,7 @@
 	case 0:
 		id := victim.Life.ID
 		w.cut[id] = true
-		w.at(w.now+time.Duration(w.random.IntN(8000))*time.Millisecond, func() { delete(w.cut, id) })
+		w.at(w.now+time.Duration(w.random.IntN(14000))*time.Millisecond, func() { w.heal(id) })
 	case 1:
 		w.elect()
 	case 2:
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -21,6 +21,7 @@
 		}
 		s := l.session(x.life, now)
 		switch {
+		case s.lapsing: // A start that were repeated now could run while the task starts elsewhere.
 		case x.stop && !x.stopped:
 			x.calls++
 			l.call(now, w, Call{Kind: CallStop, Task: id, Attempt: x.attempt})
@@ -95,6 +96,8 @@
 			l.hold(now, w, s, holdWait)
 		case unacked:
 			l.hold(now, w, s, 0)
+		case s.failures > 0 && now.Mono-s.reported < l.o.Report+reportSlack:
+			l.hold(now, w, s, 0) // It reports; whether it can be called again shows only by a call.
 		}
 	}
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -30,6 +30,7 @@
 	holdSent   time.Duration
 	nextHold   time.Duration
 	ending     bool  // A command with ends of this worker is under way.
+	lapsing    bool  // That command says that all its attempts are lost: none may be ordered or renewed any more.
 	ackedUpTo  int64 // Newest cursor that the worker has confirmed.
 	look       bool  // A hold without a wait is needed now.
 	failed     int   // Consecutive failed attempts.
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -15,7 +15,7 @@
 
 // Times of the simulated surroundings.
 const (
-	commitDelay = 12 * time.Millisecond // A sync at the leader and one at a follower.
+	usualCommit = 12 * time.Millisecond // A sync at the leader and one at a follower.
 	oneWay      = 500 * time.Microsecond
 	callTimeout = 600 * time.Millisecond
 	reportEvery = 1500 * time.Millisecond
@@ -33,8 +33,11 @@
 	term    uint64
 	workers []*simworker.Worker
 	gangs   *simworker.Gangs
-	cut     map[string]bool // Workers that nothing reaches, and from which nothing comes.
-	lateBy  float64         // Share of orders that are carried out seconds later, without an answer.
+	cut     map[string]bool     // Workers that nothing reaches, and from which nothing comes.
+	lateBy  float64             // Share of orders that are carried out seconds later, without an answer.
+	heldUp  map[string][]func() // Calls that a cut holds up, by worker.
+	commits time.Duration       // Until a proposal is applied.
+	lost    func()              // Called when attempts are proposed to be lost.
 	queue   events
 	order   int
 	starts  int
@@ -47,7 +50,7 @@
 func newWorld(seed uint64, workers int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), machine: domain.New(), gangs: simworker.NewGangs(), cut: map[string]bool{},
-		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{},
+		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commits: usualCommit, heldUp: map[string][]func(){}, lost: func() {},
 	}
 	w.gangs.Events = w.observe
 	config := &domain.Config{Version: 1, Document: []byte("{}"), Pools: []domain.Pool{{Name: "pool"}},
@@ -83,7 +86,7 @@
 			w.commit(&domain.Command{Register: reg})
 		}
 		clock := s.Clock(w.now)
-		w.at(w.now+commitDelay+oneWay, func() {
+		w.at(w.now+w.commits+oneWay, func() {
 			if x := w.machine.Worker(s.Life.ID); x != nil && x.Life == s.Life {
 				w.leader.Reported(w.time(), s.Life, clock)
 			}
@@ -119,7 +122,10 @@
 // commit applies a command after the delay of the log.
 func (w *world) commit(c *domain.Command) {
 	c.AtMS = w.time().WallMS
-	w.at(w.now+commitDelay, func() { w.apply(*c) })
+	if c.End != nil && len(c.End.Ends) > 0 && c.End.Ends[0].Outcome == domain.OutcomeLost {
+		w.lost()
+	}
+	w.at(w.now+w.commits, func() { w.apply(*c) })
 }
 
 func (w *world) apply(c domain.Command) {
@@ -167,11 +173,16 @@
 	lost := func() {
 		w.at(w.now+c.Wait+callTimeout, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.NoAnswer}) })
 	}
-	if i < 0 || w.cut[c.Worker.ID] {
+	if i < 0 {
 		lost()
 		return
 	}
 	s := w.workers[i]
+	if w.cut[c.Worker.ID] {
+		w.heldUp[c.Worker.ID] = append(w.heldUp[c.Worker.ID], func() { w.serve(leader, s, c, w.now) })
+		lost()
+		return
+	}
 	if c.Kind != dispatch.CallHold && w.random.Float64() < w.lateBy {
 		lost()
 		late := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
@@ -207,6 +218,15 @@
 	w.at(w.now+oneWay, func() { w.reply(leader, c, r) })
 }
 
+// heal ends a cut and delivers the calls that it held up.
+func (w *world) heal(worker string) {
+	delete(w.cut, worker)
+	for _, deliver := range w.heldUp[worker] {
+		w.at(w.now+oneWay, deliver)
+	}
+	delete(w.heldUp, worker)
+}
+
 func (w *world) reply(leader *dispatch.Leader, c dispatch.Call, r dispatch.Reply) {
 	if leader == w.leader {
 		leader.Reply(w.time(), c.ID, r)
