dispatch: make the test of a repeated start fail without its change

In 'repeats no start whose loss is being committed' the task began again on the same worker, which refused it.

--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -137,7 +137,8 @@
 		w.commits = 700 * time.Millisecond
 		w.lost = func() {
 			w.heal(victim)
-			w.at(w.now+100*time.Millisecond, func() { w.cut[victim] = true })
+			// The task must begin on the other worker.
+			w.commit(&domain.Command{Zone: &domain.SetZone{Zone: w.machine.Worker(victim).Zone, Out: true}})
 		}
 		w.run(30 * time.Second)
 		Expect(w.starts).To(BeNumerically(">", 2))
