--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -36,7 +36,6 @@
 	Founding   bool     // The deployment starts for the first time, with empty disks.
 	Seeds      []string // Addresses, without port, of hosts to start from.
 	Losses     int      // How many hosts with a disk may be lost at once.
-	Grace      time.Duration
 	Dispatch   dispatch.Options
 }
 
@@ -81,6 +80,7 @@
 	reconsidered time.Duration
 	known        []string // Hosts that keep the state, as far as known here.
 	stopping     bool
+	failed       error             // The state could not follow the log; the host must end.
 	zones        map[string]string // By host; founding members do not know each other's.
 
 	kick  chan struct{}
@@ -190,6 +190,9 @@
 func (h *Host) step() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.failed != nil {
+		return h.failed
+	}
 	now := h.now()
 	h.replica.Tick(now.Mono)
 	if err := h.pump(now); err != nil {
@@ -202,16 +205,25 @@
 	return h.compact()
 }
 
+// fail makes the driving goroutine end the host.
+func (h *Host) fail(err error) {
+	h.failed = err
+	h.wake()
+}
+
 // lead gives the orders of a leader, as long as its lease holds.
 func (h *Host) lead(now dispatch.Time) {
 	h.checkLeadership(now)
-	if h.leader == nil || !h.replica.Leads(now.Mono) {
+	if h.leader == nil || h.stopping || !h.replica.Leads(now.Mono) {
 		return
 	}
 	h.reconsiderVoters(now)
 	out := h.leader.Tick(now)
 	for _, c := range out.Commands {
-		h.replica.Propose(now.Mono, c.Encode())
+		if _, _, ok := h.replica.Propose(now.Mono, c.Encode()); !ok {
+			h.restartLeadership()
+			return
+		}
 	}
 	for _, c := range out.Calls {
 		go h.callWorker(c)
@@ -238,6 +250,14 @@
 	}
 }
 
+// restartLeadership gives up what the leader holds in memory, since it waits for commands that were not taken. It begins
+// anew from the applied state once the log takes commands again.
+func (h *Host) restartLeadership() {
+	h.log.Info("proposal_refused", "term", h.leaderTerm)
+	h.leader, h.leaderTerm = nil, 0
+	h.failWaiters()
+}
+
 // failWaiters tells those who wait that the result is not known.
 func (h *Host) failWaiters() {
 	for index, w := range h.waiting {
@@ -416,5 +436,5 @@
 	return nil
 }
 
-// address returns where a host listens for the other hosts.
+// peerAddress returns where a host listens for the other hosts.
 func peerAddress(host string, port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
--- a/internal/corehost/peers.go
+++ b/internal/corehost/peers.go
@@ -139,6 +139,7 @@
 		h.replica.Step(now.Mono, m)
 	}
 	if err := h.pump(now); err != nil {
+		h.fail(err)
 		return nil, err
 	}
 	h.wake()
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -27,6 +27,7 @@
 	w := waiter{term: term, result: make(chan proposalResult, 1)}
 	h.waiting[index] = w
 	if err := h.pump(now); err != nil {
+		h.fail(err)
 		return 0, false
 	}
 	h.mu.Unlock()
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -21,7 +21,7 @@
 		}
 		s := l.session(x.life, now)
 		switch {
-		case s.lapsing: // A start that were repeated now could run while the task starts elsewhere.
+		case s.lapsing: // A start that is repeated now could run while the task starts elsewhere.
 		case x.stop && !x.stopped:
 			x.calls++
 			l.call(now, w, Call{Kind: CallStop, Task: id, Attempt: x.attempt})
@@ -108,7 +108,6 @@
 		c.UntilMS = l.extend(now, s, l.o.Lease)
 	}
 	s.holds++
-	s.holdSent = now.Mono
 	l.call(now, w, c)
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -27,7 +27,6 @@
 	everHeard  bool
 	failures   int // Calls without an answer since the last answer.
 	holds      int // Holds under way.
-	holdSent   time.Duration
 	nextHold   time.Duration
 	ending     bool  // A command with ends of this worker is under way.
 	lapsing    bool  // That command says that all its attempts are lost: none may be ordered or renewed any more.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -10,7 +10,7 @@
 // How long a unit insists on the rack of its data, or a gang on one rack, before it takes the slow way. Away from its
 // data a task takes FarFactor times as long, so that waiting up to twice its run time is still faster.
 const (
-	farFactor          = 3    // bounds far_x of the deployments.
+	farFactor          = 3    // How many times as long work takes away from its data, on all deployments.
 	urgentRackWaitMS   = 2000 // Of the 3.4 s within which urgent work must begin, so that a stop still fits.
 	reclaimAfterWaitMS = 60   // Urgent work reclaims nearly at once; a stop takes up to 0.9 s.
 )
@@ -174,13 +174,12 @@
 func (d *decision) bestSlot(u *Unit, index int, demand domain.Resources) *slot {
 	step := u.step()
 	failedOn := u.Job.Task(u.task(index)).FailedOn
-	candidates := d.slots
 	if step.DataRack != "" {
 		if s := d.tightest(u, d.racks[step.DataRack], demand, failedOn); s != nil || u.WaitedMS < patience(u) {
 			return s
 		}
 	}
-	return d.tightest(u, candidates, demand, failedOn)
+	return d.tightest(u, d.slots, demand, failedOn)
 }
 
 func (d *decision) tightest(u *Unit, slots []*slot, demand domain.Resources, failedOn []string) *slot {
