wal, corehost: a host with a full disk waits for room instead of ending

Ruled out: repeating the write on the same file, since its end is torn then. Nothing is acknowledged meanwhile; the other voters go on. Tests: a table in wal, and internal/corehost store tests with a disk that fills; both fail without the change.

--- a/internal/corehost/disk.go
+++ b/internal/corehost/disk.go
@@ -56,22 +56,22 @@
 			return ctx.Err()
 		case <-h.disk.filled:
 		}
-		if err := h.writeBatch(h.disk.take()); err != nil {
+		if err := h.writeBatch(ctx, h.disk.take()); err != nil {
 			return eris.Wrap(err, "writing the data folder")
 		}
 	}
 }
 
-func (h *Host) writeBatch(writes []diskWrite) error {
+func (h *Host) writeBatch(ctx context.Context, writes []diskWrite) error {
 	var records []replica.Record
 	mark := uint64(0)
 	began := time.Now()
 	for _, w := range writes {
 		if w.whole != nil {
-			if err := h.flush(&records); err != nil {
+			if err := h.flush(ctx, &records); err != nil {
 				return err
 			}
-			if err := h.store.Replace([]replica.Record{*w.whole}); err != nil {
+			if err := h.store.replace(ctx, []replica.Record{*w.whole}); err != nil {
 				return err
 			}
 			continue
@@ -79,7 +79,7 @@
 		records = append(records, w.records...)
 		mark = w.mark
 	}
-	if err := h.flush(&records); err != nil {
+	if err := h.flush(ctx, &records); err != nil {
 		return err
 	}
 	h.metrics.syncs.Observe(time.Since(began).Seconds())
@@ -97,11 +97,11 @@
 	return err
 }
 
-func (h *Host) flush(records *[]replica.Record) error {
+func (h *Host) flush(ctx context.Context, records *[]replica.Record) error {
 	if len(*records) == 0 {
 		return nil
 	}
-	err := h.store.Append(*records)
+	err := h.store.append(ctx, *records)
 	*records = nil
 	return err
 }
--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -69,7 +69,7 @@
 	clock   *suspend.Clock
 	workers WorkerCaller
 	metrics *Metrics
-	store   *wal.Log
+	store   *store
 
 	mu           sync.Mutex
 	replica      *replica.Replica
@@ -101,19 +101,19 @@
 
 // Open reads the data folder and builds the host. Run must be called next.
 func Open(s Settings, workers WorkerCaller, m *Metrics, log logr.Logger) (*Host, error) {
-	store, state, err := wal.Open(s.DataFolder)
+	file, state, err := wal.Open(s.DataFolder)
 	if err != nil {
 		return nil, eris.Wrap(err, "opening the data folder")
 	}
 	h := &Host{
-		s: s, log: log, clock: suspend.New(), workers: workers, metrics: m, store: store,
+		s: s, log: log, clock: suspend.New(), workers: workers, metrics: m, store: newStore(s.DataFolder, file, log),
 		machine: domain.New(), waiting: map[uint64]waiter{}, zones: map[string]string{s.Address: s.Zone}, kick: make(chan struct{}, 1), disk: newDiskQueue(),
 	}
 	h.s.Dispatch.Log = func(event string, kv ...any) { log.Info(event, kv...) }
 	incarnation := state.Incarnation
 	if incarnation == 0 {
-		if incarnation, err = h.begin(); err != nil {
-			return nil, errors.Join(err, store.Close())
+		if incarnation, err = h.begin(file); err != nil {
+			return nil, errors.Join(err, file.Close())
 		}
 	}
 	founding := replica.Config{}
@@ -134,12 +134,12 @@
 
 // begin draws the incarnation of an empty folder. Only the hosts that the deployment starts from are founding members:
 // a disk that was lost later must not pass for one that never held anything.
-func (h *Host) begin() (uint64, error) {
+func (h *Host) begin(file *wal.Log) (uint64, error) {
 	incarnation := rand.Uint64() | 2
 	if h.s.Founding && slices.Contains(h.s.Seeds, h.s.Address) {
 		incarnation = replica.FoundingIncarnation
 	}
-	return incarnation, eris.Wrap(h.store.Begin(incarnation), "writing the incarnation")
+	return incarnation, eris.Wrap(file.Begin(incarnation), "writing the incarnation")
 }
 
 // Run drives the host until ctx ends, and returns early if the disk fails.
@@ -150,7 +150,7 @@
 	g.Go(func() error { return h.seekLeader(ctx) })
 	err := g.Wait()
 	h.peers.close()
-	if closed := h.store.Close(); err == nil || errors.Is(err, context.Canceled) {
+	if closed := h.store.close(); err == nil || errors.Is(err, context.Canceled) {
 		err = closed
 	}
 	return err
--- /dev/null
+++ b/internal/corehost/store_test.go
@@ -0,0 +1,80 @@
+package corehost
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"github.com/mustardwalk/mustardwalk/internal/replica"
+	"github.com/mustardwalk/mustardwalk/internal/wal"
+)
+
+// fillingDisk is a data folder whose disk has no room for the first writes. Like wal.Log it refuses all calls after a fault.
+type fillingDisk struct {
+	full    *int // Writes that still find no room.
+	failed  error
+	written *[]replica.Record
+	other   error // Fault of another kind, of each write.
+}
+
+func (d *fillingDisk) Append(r []replica.Record) error {
+	switch {
+	case d.failed != nil:
+		return eris.Wrap(d.failed, "the log refuses calls")
+	case d.other != nil:
+		d.failed = d.other
+	case *d.full > 0:
+		*d.full--
+		d.failed = errors.Join(wal.ErrFull, errors.New("no space left on device"))
+	default:
+		*d.written = append(*d.written, r...)
+	}
+	return d.failed
+}
+
+func (d *fillingDisk) Replace(r []replica.Record) error {
+	*d.written = nil
+	return d.Append(r)
+}
+
+func (d *fillingDisk) Close() error { return nil }
+
+var _ = Describe("The store of a host", func() {
+	records := []replica.Record{{Group: "domain"}}
+	build := func(full int, other error) (*store, *[]replica.Record) {
+		written := &[]replica.Record{}
+		open := func() (recordFile, error) { return &fillingDisk{full: &full, written: written, other: other}, nil }
+		file, _ := open() // It never fails.
+		return &store{file: file, open: open, log: logr.Discard()}, written
+	}
+
+	// Guards against a host that ends, again and again, while its disk is full.
+	It("waits while the disk is full, and writes each record once", func(ctx SpecContext) {
+		s, written := build(2, nil)
+		Expect(s.append(ctx, records)).To(Succeed())
+		Expect(s.append(ctx, records)).To(Succeed())
+		Expect(*written).To(HaveLen(2))
+		Expect(s.replace(ctx, records)).To(Succeed())
+		Expect(*written).To(HaveLen(1))
+	}, NodeTimeout(10*time.Second))
+
+	// Guards against a host that goes on after a fault that leaves the content of the file unknown.
+	It("gives up at once after any other fault", func(ctx SpecContext) {
+		fault := errors.New("injected")
+		s, _ := build(0, fault)
+		Expect(s.append(ctx, records)).To(MatchError(fault))
+	}, NodeTimeout(10*time.Second))
+
+	It("ends its wait with the host", func() {
+		s, written := build(1000, nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(s.append(ctx, records)).To(MatchError(context.Canceled))
+		Expect(*written).To(BeEmpty())
+	})
+})
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -9,6 +9,7 @@
 	"io"
 	"io/fs"
 	"path/filepath"
+	"syscall"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -32,6 +33,10 @@
 // ErrClosed is returned by all calls after Close.
 var ErrClosed = eris.New("the log is closed")
 
+// ErrFull is returned by Append and Replace when a write, not a sync, found no room. The folder then still holds what was
+// synced before, and may be closed and opened again, which cuts the unfinished frame off.
+var ErrFull = eris.New("the disk is full")
+
 // State is what the folder held at open.
 type State struct {
 	Incarnation uint64 // 0 for a fresh folder.
@@ -190,7 +195,7 @@
 	}
 	out, err := l.files.Create(l.path(newName))
 	if err != nil {
-		return eris.Wrap(err, "creating a file")
+		return noRoom(eris.Wrap(err, "creating a file"))
 	}
 	if err := writeSynced(out, content); err != nil {
 		return errors.Join(err, out.Close())
@@ -240,11 +245,20 @@
 		err = io.ErrShortWrite
 	}
 	if err != nil {
-		return eris.Wrap(err, "writing records")
+		return noRoom(eris.Wrap(err, "writing records"))
 	}
 	return eris.Wrap(out.Sync(), "syncing records")
 }
 
+// noRoom adds ErrFull to an error whose cause is a full disk. After a failed sync the content of the file is unknown, so
+// that errors of syncs must not pass through here.
+func noRoom(err error) error {
+	if errors.Is(err, syscall.ENOSPC) {
+		return errors.Join(ErrFull, err)
+	}
+	return err
+}
+
 // Size returns the bytes of the current file.
 func (l *Log) Size() int64 { return l.size }
 
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"flag"
 	"io"
 	"os"
@@ -224,6 +225,32 @@
 		Expect(f.syncs - before).To(Equal(1))
 	})
 
+	// Guards against a process that ends while its disk is full, and against a retry after a failed sync.
+	DescribeTable("tells a full disk from other faults, and can be opened again then", func(f faultyFiles, replace bool, full bool) {
+		l, _, err := open(&f, folder)
+		Expect(err).NotTo(HaveOccurred())
+		inject := f
+		f = faultyFiles{}
+		Expect(l.Begin(7)).To(Succeed())
+		Expect(l.Append([]replica.Record{entryRecord("g", 1, "kept")})).To(Succeed())
+		f = inject
+		call := l.Append
+		if replace {
+			call = l.Replace
+		}
+		Expect(errors.Is(call([]replica.Record{entryRecord("g", 2, "late")}), ErrFull)).To(Equal(full))
+		Expect(l.Close()).To(Succeed())
+		l, s := reopen(folder)
+		defer l.Close()
+		Expect(s.Groups["g"].Entries).To(HaveLen(1))
+		Expect(l.Append([]replica.Record{entryRecord("g", 2, "late")})).To(Succeed())
+	},
+		Entry("no room for a record", faultyFiles{space: 20}, false, true),
+		Entry("no room for a new file", faultyFiles{space: 20}, true, true),
+		Entry("a failed write", faultyFiles{write: syscall.EIO}, false, false),
+		Entry("a sync that finds no room", faultyFiles{sync: syscall.ENOSPC}, true, false),
+	)
+
 	fault := eris.New("injected")
 	DescribeTable("refuses all calls after a fault, and keeps what was synced", func(f faultyFiles, replace bool, cause error) {
 		l, _, err := open(&f, folder)
