domain: no start beyond a worker's room, whoever has planned it

On hosts, a new leadership waits until earlier entries are applied, but not after proposal_refused in the same term. Ruled out: the model of workers (the trace shows both starts applied). Change: applyStart counts the room itself and leaves out what does not fit, gangs as a whole. Test: in machine_test, fails without the change.

--- a/internal/domain/apply_attempt.go
+++ b/internal/domain/apply_attempt.go
@@ -5,19 +5,14 @@
 // maxFailedOn bounds the list of workers on which a task failed.
 const maxFailedOn = 8
 
-// applyStart begins attempts. An assignment whose task or worker has changed since the plan was made is left out; the
-// members of a gang are left out together.
+// applyStart begins attempts. An assignment whose task or worker has changed since the plan was made, or for which there is
+// no room any more, is left out; the members of a gang are left out together. Whoever plans, no worker is overcommitted.
 func (m *Machine) applyStart(s *StartAttempts, at int64) Result {
-	dropped := map[TaskID]bool{}
-	for _, a := range s.Assignments {
-		if !m.startable(a) {
-			dropped[stepOf(a.Task)] = true
-		}
-	}
+	dropped := m.withoutPlace(s.Assignments)
 	result := NotChanged
-	for _, a := range s.Assignments {
+	for i, a := range s.Assignments {
 		j := m.open[a.Task.Job]
-		if !m.startable(a) || (j.Spec.Steps[a.Task.Step].Gang && dropped[stepOf(a.Task)]) {
+		if dropped.assignments[i] || !m.startable(a) || (j.Spec.Steps[a.Task.Step].Gang && dropped.steps[stepOf(a.Task)]) {
 			continue
 		}
 		t := j.Task(a.Task)
@@ -33,6 +28,36 @@
 	return result
 }
 
+// placeless are the assignments of a command that cannot begin, by position, and the steps that they belong to.
+type placeless struct {
+	assignments map[int]bool
+	steps       map[TaskID]bool
+}
+
+// withoutPlace finds the assignments that cannot begin. Those before an assignment count against its worker's room.
+func (m *Machine) withoutPlace(assignments []Assignment) placeless {
+	out := placeless{map[int]bool{}, map[TaskID]bool{}}
+	free := map[string]Resources{}
+	for i, a := range assignments {
+		fits := m.startable(a)
+		if fits {
+			room, known := free[a.Worker.ID]
+			if !known {
+				room = m.state.Workers[a.Worker.ID].Free()
+			}
+			demand := m.open[a.Task.Job].Spec.Steps[a.Task.Step].Demand()
+			if fits = demand.Fits(room); fits {
+				free[a.Worker.ID] = room.Minus(demand)
+			}
+		}
+		if !fits {
+			out.assignments[i] = true
+			out.steps[stepOf(a.Task)] = true
+		}
+	}
+	return out
+}
+
 // stepOf returns the identifier of the first task of a step; the gang's shared values are kept there.
 func stepOf(id TaskID) TaskID {
 	id.Index = 0
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -111,6 +111,20 @@
 		Expect(f.Worker("w").Free().Accelerators).To(Equal(int64(8)))
 	})
 
+	It("starts nothing for which there is no room, whoever has planned it", func() {
+		// Two plans that did not know of each other were both carried out, and overcommitted a worker.
+		f := newFixture()
+		big := []domain.Step{{Count: 3, Task: domain.Resources{Accelerators: 3}}}
+		f.submit(domain.JobSpec{ID: "a", Steps: big})
+		Expect(f.start(id("a", 0), id("a", 1), id("a", 2))).To(Equal(domain.Applied))
+		Expect(f.Worker("w").Attempts()).To(HaveLen(2))
+		Expect(f.start(id("a", 2))).To(Equal(domain.NotChanged))
+		f.submit(domain.JobSpec{ID: "g", Steps: []domain.Step{{Count: 2, Gang: true, Task: domain.Resources{Accelerators: 2}}}})
+		Expect(f.start(id("g", 0), id("g", 1))).To(Equal(domain.NotChanged), "one of two members has room")
+		f.submit(domain.JobSpec{ID: "s", Steps: single})
+		Expect(f.start(id("s", 0))).To(Equal(domain.Applied))
+	})
+
 	It("starts a gang only as a whole, under one number", func() {
 		f := newFixture()
 		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 9, Steps: []domain.Step{{Count: 2, Gang: true}}})
