domain: a gang continues from the checkpoint of its stop

Cause: of a gang only the first member's checkpoint was kept, and an older periodic one could replace it, since the ends of members come in any order. Change: the checkpoint of any member is kept, that of a stop before periodic ones of the same attempt. Test: table 'continues a gang from the checkpoint of its stop', fails without the change.

--- a/internal/domain/apply_attempt.go
+++ b/internal/domain/apply_attempt.go
@@ -119,9 +119,7 @@
 		return
 	}
 	m.vacate(x.Task, j, t)
-	if x.Saved != "" {
-		t.Saved = x.Saved
-	}
+	keepSaved(j, x)
 	defer m.leaveBusy(j)
 	if j.State.Final() || t.Done {
 		return
@@ -136,6 +134,24 @@
 	}
 }
 
+// keepSaved takes over the checkpoint that an end lists. One of any member of a gang is valid for the gang; the members'
+// ends come in any order, and those that a stop broke may list an older checkpoint than the member that was stopped.
+func keepSaved(j *Job, x AttemptEnd) {
+	id := x.Task
+	if j.Spec.Steps[id.Step].Gang {
+		id = stepOf(id)
+	}
+	t := j.Task(id)
+	stopped := x.Outcome == OutcomeStopped
+	if x.Saved == "" || (!stopped && t.SavedAtStop == x.Attempt) {
+		return
+	}
+	t.Saved = x.Saved
+	if stopped {
+		t.SavedAtStop = x.Attempt
+	}
+}
+
 // Weights of the moving average of run times.
 const (
 	runTimeMemory = 16 // Ended tasks that the average goes back.
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -154,6 +154,24 @@
 		Entry("lost", domain.OutcomeLost, domain.JobRunning),
 	)
 
+	DescribeTable("continues a gang from the checkpoint of its stop, whatever order the ends come in", func(first, second int) {
+		// The checkpoints of all members but the first were dropped, and an older one could replace that of the stop.
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "g", MaxAttempts: 3, Steps: []domain.Step{{Count: 2, Gang: true, Checkpointable: true}}})
+		f.start(id("g", 0), id("g", 1))
+		how := []domain.Outcome{domain.OutcomeBroken, domain.OutcomeStopped}
+		saved := []string{"periodic", "at-stop"}
+		f.end(id("g", first), 1, how[first], saved[first])
+		f.end(id("g", second), 1, how[second], saved[second])
+		Expect(f.Job("g").Task(id("g", 0)).Saved).To(Equal("at-stop"))
+		f.start(id("g", 0), id("g", 1))
+		f.end(id("g", 0), 2, domain.OutcomeLapsed, "later")
+		Expect(f.Job("g").Task(id("g", 0)).Saved).To(Equal("later"), "of the next attempt")
+	},
+		Entry("stopped member last", 0, 1),
+		Entry("stopped member first", 1, 0),
+	)
+
 	It("lets tasks that run until the job is cancelled fail without limit", func() {
 		f := newFixture()
 		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: []domain.Step{{Count: 1, LongRunning: true}}})
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -181,7 +181,7 @@
 	Done    bool       `cbor:"1,keyasint,omitempty"`
 	Attempt int        `cbor:"2,keyasint,omitempty"` // Number of the newest attempt; the members of a gang share it.
 	Worker  WorkerLife `cbor:"3,keyasint,omitempty"` // Set while the newest attempt may be present on a worker.
-	Saved   string     `cbor:"4,keyasint,omitempty"` // Newest known checkpoint.
+	Saved   string     `cbor:"4,keyasint,omitempty"` // Newest known checkpoint; of a gang in its first task.
 	Failed  int        `cbor:"5,keyasint,omitempty"` // Attempts that ended as failed; of a gang in its first task.
 	Started int64      `cbor:"6,keyasint,omitempty"` // When the newest attempt was committed, Unix milliseconds.
 	// FailedOn lists the workers on which attempts failed.
@@ -209,6 +209,8 @@
 
 // Task returns a task, nil if it does not exist or is not due yet.
 func (j *Job) Task(id TaskID) *Task {
+	// SavedAtStop is the attempt whose stop made Saved, which no periodic checkpoint of that attempt is newer than.
+	SavedAtStop int `cbor:"8,keyasint,omitempty"`
 	if id.Occurrence >= len(j.Occurrences) || id.Step >= len(j.Spec.Steps) {
 		return nil
 	}
