placement: stopping work that can save costs its restore only

Cause: a stop makes a checkpoint, but up to 2 s of work counted as lost, in whole seconds, so that urgent work ended attempts that lose everything rather than attempts that lose nothing. Change: the cost counts milliseconds; an attempt that can save loses the time of its restore (restore_ms). Test: 'reclaims from work that can save', fails without the change.

--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -102,6 +102,22 @@
 		Expect(w.faults).To(BeEmpty())
 	})
 
+	It("reclaims from work that can save, even if it has run for longer", func() {
+		// A stop saves a checkpoint; the work since the last one was taken to be lost.
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		saving := step(1, 8)
+		saving.Checkpointable = true
+		w.submit(domain.JobSpec{ID: "saving", Priority: 2, Stretch: 100, Payload: "work=60000", Steps: []domain.Step{saving}})
+		w.run(6 * time.Second)
+		w.submit(domain.JobSpec{ID: "plain", Priority: 2, Stretch: 100, Payload: "work=60000", Steps: []domain.Step{step(1, 8)}})
+		w.run(7 * time.Second)
+		w.submit(domain.JobSpec{ID: "urgent", Payload: "work=60000", Steps: []domain.Step{step(1, 8)}})
+		w.run(8 * time.Second)
+		Expect(w.running).To(HaveKey(domain.TaskID{Job: "urgent"}))
+		Expect(w.running).To(HaveKey(domain.TaskID{Job: "plain"}))
+	})
+
 	It("blocks a task whose first start is lost for the short first lease only", func() {
 		w := newWorld(1, 2)
 		w.run(time.Second)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -281,9 +281,9 @@
 		j := l.m.Job(id.Job)
 		x := l.orders[id]
 		step := &j.Spec.Steps[id.Step]
-		ran := now.WallMS - j.Task(id).Started
+		unsaved := now.WallMS - j.Task(id).Started
 		if step.Checkpointable {
-			ran = min(ran, 2000)
+			unsaved = min(unsaved, l.o.Restore.Milliseconds())
 		}
 		members := 1
 		if step.Gang {
@@ -291,7 +291,7 @@
 		}
 		out = append(out, placement.Running{
 			Task: id, Demand: step.Demand(), Priority: j.Spec.Priority, Members: members,
-			Stopping: x == nil || x.stop, UnsavedS: ran / 1000,
+			Stopping: x == nil || x.stop, UnsavedMS: unsaved,
 			Pressed: now.WallMS+2*l.runTime(j, step) > l.base(j, id.Occurrence)+l.objective(j),
 		})
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -25,6 +25,7 @@
 	GangWait  time.Duration // How long members of a gang wait for each other on workers.
 	Report    time.Duration // Period of the workers' reports.
 	Retention time.Duration // How long ended jobs are kept.
+	Restore   time.Duration // What an attempt needs to continue from a checkpoint.
 	Early     time.Duration // How much before its due time an occurrence may start.
 	Log       func(event string, keysAndValues ...any)
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -100,7 +100,7 @@
 	w.term++
 	w.leader = dispatch.New(w.machine, dispatch.Options{
 		Fence: w.term, Lease: simworker.MaxLease, GangWait: simworker.GangWait, Report: reportEvery,
-		Retention: time.Minute, Log: func(string, ...any) {},
+		Retention: time.Minute, Restore: 600 * time.Millisecond, Log: func(string, ...any) {},
 	}, w.time())
 }
 
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -43,7 +43,7 @@
 func (f *fixture) occupy(worker int, accelerators int64, priority int) domain.TaskID {
 	w := f.view.Workers[worker]
 	id := domain.TaskID{Job: domain.JobID(fmt.Sprintf("on-%d-%d", worker, len(f.tasks[w.Life.ID])))}
-	f.tasks[w.Life.ID] = append(f.tasks[w.Life.ID], placement.Running{Task: id, Demand: demand(accelerators), Priority: priority, Members: 1, UnsavedS: 3})
+	f.tasks[w.Life.ID] = append(f.tasks[w.Life.ID], placement.Running{Task: id, Demand: demand(accelerators), Priority: priority, Members: 1, UnsavedMS: 3000})
 	w.Free = w.Free.Minus(demand(accelerators))
 	return id
 }
@@ -167,7 +167,7 @@
 			f.occupy(0, 8, 2)
 			single := f.occupy(1, 8, 2)
 			f.tasks["w00"][0].Members = 8
-			f.tasks["w00"][0].UnsavedS = 1
+			f.tasks["w00"][0].UnsavedMS = 1000
 			f.unit("j", 0, tasks(1, 8))
 			p := placement.Decide(&f.view)
 			Expect(p.Stops).To(HaveLen(1))
@@ -191,7 +191,7 @@
 			for i := range 8 {
 				f.occupy(i, 1, 2)
 			}
-			f.tasks["w01"][0].UnsavedS = 100
+			f.tasks["w01"][0].UnsavedMS = 100_000
 			s := gang(3, 8)
 			s.SameRack = true
 			u := f.unit("j", 0, s)
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -151,11 +151,14 @@
 	return s.tasks
 }
 
-// cost returns the core-seconds that a stop throws away, at least a little, so that fewer stops are better. The rest of
-// a gang ends with its member.
+// stopMS is what a stop costs besides the work that is not saved: the capacity stands idle until the next attempt begins.
+const stopMS = 400
+
+// cost returns the core-milliseconds that a stop throws away, at least a little, so that fewer stops are better. The rest
+// of a gang ends with its member.
 func (r Running) cost() int64 {
-	perSecond := r.Demand.CPU/1000 + acceleratorCores*r.Demand.Accelerators + 1
-	c := (r.UnsavedS + 1) * perSecond * int64(max(1, r.Members))
+	cores := r.Demand.CPU/1000 + acceleratorCores*r.Demand.Accelerators + 1
+	c := (r.UnsavedMS + stopMS) * cores * int64(max(1, r.Members))
 	if r.Pressed {
 		c *= pressedWeight
 	}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -27,7 +27,9 @@
 	Priority int
 	Members  int   // How many attempts end with it: the members of a gang, or 1.
 	Stopping bool  // Its capacity becomes free soon.
-	UnsavedS int64 // Seconds of work that a stop would throw away, the start-up included.
+	// UnsavedMS is the work that a stop throws away, the start-up included. A stop saves a checkpoint, so that an attempt that
+	// can save loses the time of its restore only.
+	UnsavedMS int64
 	Pressed  bool  // Its job becomes late if it has to start again.
 }
 
