--- a/internal/corehost/forward.go
+++ b/internal/corehost/forward.go
@@ -82,6 +82,8 @@
 		in.Document, err = cbor.Marshal(op.Config)
 	case op.Worker != nil:
 		in.Document, err = cbor.Marshal(op.Worker)
+	case op.Wave != nil:
+		in.Document, err = cbor.Marshal(op.Wave)
 	}
 	return in, eris.Wrap(err, "encoding an operation")
 }
@@ -95,6 +97,9 @@
 	case service.Register, service.Deregister:
 		op.Worker = &domain.Worker{}
 		return op, eris.Wrap(cbor.Unmarshal(in.Document, op.Worker), "decoding a worker")
+	case service.StartWave, service.GetWave:
+		op.Wave = &domain.Wave{}
+		return op, eris.Wrap(cbor.Unmarshal(in.Document, op.Wave), "decoding a wave")
 	}
 	return op, nil
 }
--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -44,6 +44,18 @@
 	Call(ctx context.Context, c dispatch.Call) dispatch.Reply
 }
 
+// ServiceCaller calls services outside the deployment.
+type ServiceCaller interface {
+	Advise(ctx context.Context, c dispatch.AdviceCall) dispatch.AdviceReply
+	Upkeep(ctx context.Context, c dispatch.UpkeepCall) dispatch.UpkeepStatus
+}
+
+// Callers carry out what the leader orders outside the deployment.
+type Callers struct {
+	Workers  WorkerCaller
+	Services ServiceCaller
+}
+
 // Timing of the replicated log. A lost leader is replaced within two seconds, so that reports and calls, which are
 // repeated every second or two, find a new one at their first repetition.
 var timing = replica.Timing{
@@ -67,7 +79,7 @@
 	s       Settings
 	log     logr.Logger
 	clock   *suspend.Clock
-	workers WorkerCaller
+	callers Callers
 	metrics *Metrics
 	store   *store
 
@@ -100,13 +112,13 @@
 }
 
 // Open reads the data folder and builds the host. Run must be called next.
-func Open(s Settings, workers WorkerCaller, m *Metrics, log logr.Logger) (*Host, error) {
+func Open(s Settings, callers Callers, m *Metrics, log logr.Logger) (*Host, error) {
 	file, state, err := wal.Open(s.DataFolder)
 	if err != nil {
 		return nil, eris.Wrap(err, "opening the data folder")
 	}
 	h := &Host{
-		s: s, log: log, clock: suspend.New(), workers: workers, metrics: m, store: newStore(s.DataFolder, file, log),
+		s: s, log: log, clock: suspend.New(), callers: callers, metrics: m, store: newStore(s.DataFolder, file, log),
 		machine: domain.New(), waiting: map[uint64]waiter{}, zones: map[string]string{s.Address: s.Zone}, kick: make(chan struct{}, 1), disk: newDiskQueue(),
 	}
 	h.s.Dispatch.Log = func(event string, kv ...any) { log.Info(event, kv...) }
@@ -228,6 +240,12 @@
 	for _, c := range out.Calls {
 		go h.callWorker(c)
 	}
+	for _, c := range out.Advice {
+		go h.askAdvice(c, h.leaderTerm)
+	}
+	for _, c := range out.Upkeeps {
+		go h.orderUpkeep(c)
+	}
 }
 
 // checkLeadership begins a leadership once this host leads under a lease with all entries applied, and ends it with the
@@ -268,7 +286,7 @@
 
 // callWorker carries one order out and passes the answer on.
 func (h *Host) callWorker(c dispatch.Call) {
-	reply := h.workers.Call(context.Background(), c)
+	reply := h.callers.Workers.Call(context.Background(), c)
 	h.metrics.workerCall(c.Kind, reply.Status)
 	h.mu.Lock()
 	if h.leader != nil && h.leaderTerm == c.Fence {
@@ -278,6 +296,28 @@
 	h.wake()
 }
 
+// askAdvice carries a call for advice out and passes the answer on, unless another leadership has begun.
+func (h *Host) askAdvice(c dispatch.AdviceCall, term uint64) {
+	reply := h.callers.Services.Advise(context.Background(), c)
+	h.mu.Lock()
+	if h.leader != nil && h.leaderTerm == term {
+		h.leader.Advised(h.now(), c.ID, reply)
+	}
+	h.mu.Unlock()
+	h.wake()
+}
+
+// orderUpkeep carries an order for a machine out and passes the answer on.
+func (h *Host) orderUpkeep(c dispatch.UpkeepCall) {
+	status := h.callers.Services.Upkeep(context.Background(), c)
+	h.mu.Lock()
+	if h.leader != nil && h.leaderTerm == c.Fence {
+		h.leader.UpkeepReply(h.now(), c, status)
+	}
+	h.mu.Unlock()
+	h.wake()
+}
+
 // reconsiderVoters adjusts the voters to the hosts that are there.
 func (h *Host) reconsiderVoters(now dispatch.Time) {
 	if now.Mono-h.reconsidered < reconsiderEvery {
@@ -418,6 +458,9 @@
 		h.log.Info("config_applied", "version", c.Config.Version, "changed", r == domain.Applied, "index", index)
 	case c.Zone != nil:
 		h.log.Info("zone_applied", "zone", c.Zone.Zone, "out", c.Zone.Out, "changed", r == domain.Applied, "index", index)
+	case c.Wave != nil:
+		h.log.Info("wave_applied", "wave", c.Wave.Number, "machines", len(c.Wave.Machines), "max_down", c.Wave.MaxDown,
+			"within_ms", c.Wave.WithinMS, "changed", r == domain.Applied, "index", index)
 	case c.Register != nil && h.leader != nil:
 		h.log.Info("worker_registered", "worker", c.Register.Life.ID, "born_ms", c.Register.Life.BornMS,
 			"address", c.Register.Address, "zone", c.Register.Zone, "draining", c.Register.Draining, "index", index)
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -173,10 +173,27 @@
 		return h.register(ctx, now, op)
 	case service.Deregister:
 		return h.deregister(ctx, now, op)
+	case service.StartWave:
+		if h.machine.Waves()[op.Wave.Number] != nil {
+			return service.Result{Outcome: service.Done}
+		}
+		return h.commitOperation(ctx, now, &domain.Command{Wave: op.Wave})
+	case service.GetWave:
+		return waveState(h.machine.Waves()[op.Wave.Number])
 	}
 	return service.Result{Outcome: service.NotServing}
 }
 
+func waveState(w *domain.Wave) service.Result {
+	switch {
+	case w == nil:
+		return service.Result{Outcome: service.Missing}
+	case w.Completed():
+		return service.Result{Outcome: service.Done, Document: []byte{1}}
+	}
+	return service.Result{Outcome: service.Done, Document: []byte{0}}
+}
+
 func (h *Host) commitOperation(ctx context.Context, now dispatch.Time, c *domain.Command) service.Result {
 	if _, committed := h.propose(ctx, now, c); !committed {
 		return service.Result{Outcome: service.Unclear}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -26,6 +26,10 @@
 	percent   int
 	progress  time.Duration // When percent last rose.
 	saved     string
+	load      int64 // As listed last, see RunningTask.
+	pace      int   // Percent that was ordered last.
+	paceSent  int   // Percent that the worker has confirmed.
+	pacing    bool  // An order of pace is under way.
 }
 
 // stepKey names a step of an occurrence.
@@ -52,6 +56,7 @@
 	ready    map[stepKey]int64 // When a step was first seen ready, Unix milliseconds.
 	chains   map[domain.JobID]int64
 	planning bool // A command with starts is under way.
+	filling  bool // An open job has work that fills.
 	dirty    bool
 	planAt   time.Duration
 	planned  time.Duration
@@ -59,6 +64,12 @@
 	watchAt  time.Duration
 	deposed  bool
 	out      Output
+	adviser  adviser
+	upkeeps  map[string]*upkeepState // By machine.
+	upkeepAt time.Duration
+	// When this leadership began.
+	began       time.Duration
+	beganWallMS int64
 }
 
 // pending is a call under way.
@@ -79,6 +90,9 @@
 		ready:    map[stepKey]int64{},
 		chains:   map[domain.JobID]int64{},
 		dirty:    true,
+		adviser:  newAdviser(),
+		upkeeps:  map[string]*upkeepState{},
+		began:    now.Mono, beganWallMS: now.WallMS,
 	}
 	for _, w := range m.Workers() {
 		s := l.session(w.Life, now)
@@ -91,7 +105,7 @@
 }
 
 func (l *Leader) adopt(id domain.TaskID, attempt int, life domain.WorkerLife, now Time) *order {
-	x := &order{task: id, attempt: attempt, life: life, begun: now.Mono, progress: now.Mono, percent: -1}
+	x := &order{task: id, attempt: attempt, life: life, begun: now.Mono, progress: now.Mono, percent: -1, pace: paceFull, paceSent: paceFull}
 	l.orders[id] = x
 	l.active[id] = x
 	return x
@@ -150,6 +164,8 @@
 		l.stopJob(c.Cancel.Job, "cancelled")
 	case c.Register != nil, c.Forget != nil:
 		l.sweep()
+	case c.Upkeep != nil:
+		l.upkeepApplied(c.Upkeep)
 	}
 }
 
@@ -187,6 +203,7 @@
 
 func (l *Leader) forgetJob(j *domain.Job) {
 	delete(l.chains, j.Spec.ID)
+	l.adviser.forget(j)
 	for k := range j.Occurrences {
 		for s := range j.Spec.Steps {
 			delete(l.ready, stepKey{j.Spec.ID, k, s})
@@ -242,6 +259,7 @@
 		l.release(now)
 		l.housekeeping(now)
 	}
+	l.upkeep(now)
 	l.plan(now)
 	l.sendOrders(now)
 	l.sendHolds(now)
@@ -315,12 +333,12 @@
 		if j == nil || j.Spec.Steps[id.Step].LongRunning {
 			continue
 		}
-		s.blame(now.Mono)
-		if j.Spec.Steps[id.Step].Gang {
-			l.stopGang(id, "no progress")
-		} else {
-			l.want(x, "no progress")
+		if x.pace < paceFull {
+			l.abandon(x, "paced down") // Another worker may have room for it.
+			continue
 		}
+		s.blame(now.Mono)
+		l.abandon(x, "no progress")
 	}
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -33,6 +33,11 @@
 
 func (l *Leader) sendStart(now Time, w *domain.Worker, s *session, x *order) {
 	j := l.m.Job(x.task.Job)
+	ticket := l.adviser.ticket(now.Mono, x.task, x.life)
+	if ticket == "" && l.m.AdviceFor(j.Spec.Queue) != nil {
+		l.abandon(x, "no valid ticket")
+		return
+	}
 	x.calls++
 	x.tries++
 	lease := l.o.Lease
@@ -41,7 +46,7 @@
 	}
 	l.call(now, w, Call{
 		Kind: CallStart, Task: x.task, Attempt: x.attempt, UntilMS: l.extend(now, s, lease),
-		Payload: j.Spec.Payload, Saved: l.savedFor(j, x.task),
+		Payload: j.Spec.Payload, Saved: l.savedFor(j, x.task), Ticket: ticket,
 	})
 }
 
@@ -92,6 +97,8 @@
 		case s.holds > 0 || now.Mono < s.nextHold:
 		case busy && !s.hasClock:
 			l.hold(now, w, s, 0)
+		case busy && l.shared(w):
+			l.hold(now, w, s, sharedLook)
 		case busy:
 			l.hold(now, w, s, holdWait)
 		case unacked:
@@ -126,9 +133,13 @@
 		s.holds--
 	}
 	x := l.orders[p.call.Task]
-	if p.call.Kind == CallHold || x == nil || x.attempt != p.call.Attempt || x.life != s.life {
+	switch {
+	case p.call.Kind == CallHold || x == nil || x.attempt != p.call.Attempt || x.life != s.life:
 		x = nil
-	} else {
+	case p.call.Kind == CallPace:
+		l.paced(x, p, r)
+		x = nil // It says nothing about the attempt's start or stop.
+	default:
 		x.calls--
 	}
 	if r.Status == OtherLife || (r.BornMS != 0 && s.life.BornMS != 0 && r.BornMS != s.life.BornMS) {
@@ -196,8 +207,11 @@
 	default:
 		l.o.Log("start_rejected", "job", x.task.Job, "task", x.task.String(), "attempt", x.attempt, "worker", s.life.ID,
 			"reason", r.Status.String())
-		if r.Status == Unhealthy {
+		switch r.Status {
+		case Unhealthy:
 			s.blame(now.Mono)
+		case RejectedTicket:
+			l.adviser.drop(x.task, x.life)
 		}
 		l.abandon(x, r.Status.String())
 	}
@@ -214,6 +228,9 @@
 	l.want(x, why)
 }
 
+// fullPage is how many ends a worker lists at once (PROTOCOL, "Running tasks").
+const fullPage = 500
+
 // held takes the lists of a worker.
 func (l *Leader) held(now Time, s *session, p pending, r Reply) {
 	s.nextHold = now.Mono
@@ -232,12 +249,15 @@
 		listed[t.Task] = t.Attempt
 		l.sawRunning(now, w, s, t)
 	}
+	l.pace(now, w)
 	ends := l.newEnds(now, w, s, r, listed)
 	cursor := w.Cursor
 	for _, e := range r.Ended {
 		cursor = max(cursor, e.Number)
 	}
-	ends = append(ends, l.absent(w, p, listed)...)
+	if len(r.Ended) < fullPage { // Otherwise an attempt may be on a later page.
+		ends = append(ends, l.absent(w, p, listed)...)
+	}
 	if s.ending || (cursor == w.Cursor && len(ends) == 0) {
 		return
 	}
@@ -259,6 +279,7 @@
 	if t.Percent != x.percent {
 		x.percent, x.progress = t.Percent, now.Mono
 	}
+	x.load = t.Load
 	if t.Saved != "" {
 		x.saved = t.Saved
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -32,7 +32,9 @@
 	if len(units) == 0 {
 		return
 	}
+	l.watchSharing()
 	v := &placement.View{NowMS: now.WallMS, Units: units, Workers: l.workers(now), PerWorker: l.perWorker}
+	l.askAdvice(now, units, v.Workers)
 	v.Tasks = func(w *placement.Worker) []placement.Running { return l.running(now, w.Life.ID) }
 	p := placement.Decide(v)
 	for _, s := range p.Stops {
@@ -103,6 +105,7 @@
 		WaitedMS: now.WallMS - since,
 		DueMS:    base + objective,
 		Hopeless: now.WallMS > base+hopelessFactor*objective,
+		Advised:  l.advised(now, j, key),
 	}
 }
 
@@ -219,6 +222,7 @@
 			Life: w.Life, Pool: w.Pool, Zone: w.Zone, Rack: w.Rack, Labels: w.Labels, Free: w.Free(), Usable: l.usable(now, w) && !doubtful[w.Zone],
 			Total: w.Capacity, Stopping: stopping[id],
 		}
+		all[i].Serving, all[i].FillCPU = l.sharing(w)
 		out[i] = &all[i]
 	}
 	return out
@@ -269,7 +273,7 @@
 // usable tells whether new attempts may go to a worker.
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Life.ID]
-	return s != nil && s.life == w.Life && !s.released && !w.Draining && !l.m.ZoneOut(w.Zone) &&
+	return s != nil && s.life == w.Life && !s.released && !w.Draining && !l.inUpkeep(w) && !l.m.ZoneOut(w.Zone) &&
 		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil &&
 		now.Mono-max(s.heard, s.reported) < l.o.Report+reportSlack
 }
@@ -292,6 +296,7 @@
 		out = append(out, placement.Running{
 			Task: id, Demand: step.Demand(), Priority: j.Spec.Priority, Members: members,
 			Stopping: x == nil || x.stop, UnsavedMS: unsaved,
+			MayStop: l.mayStop(id),
 			Pressed: now.WallMS+2*l.runTime(j, step) > l.base(j, id.Occurrence)+l.objective(j),
 		})
 	}
--- /dev/null
+++ b/internal/dispatch/policy_test.go
@@ -0,0 +1,262 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/simworker"
+)
+
+var _ = Describe("a queue with a policy", func() {
+	advised := func(s domain.Step) domain.JobSpec {
+		return domain.JobSpec{ID: "j", Queue: "advised", Payload: "work=1000", Steps: []domain.Step{s}}
+	}
+	// only allows some workers and makes all of them insist on tickets.
+	only := func(w *world, ids ...string) {
+		w.allowed = map[string]bool{}
+		for _, id := range ids {
+			w.allowed[id] = true
+		}
+		for _, s := range w.workers {
+			s.Ticket = "ticket"
+		}
+	}
+
+	// Guards against starts without a ticket, which workers reject, so that nothing of the queue ever runs.
+	It("runs its tasks on the workers that the policy allows, with their tickets", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		only(w, "i-003", "i-005")
+		var on []string
+		w.gangs.Events = func(e simworker.Event) {
+			if e.Start {
+				on = append(on, e.Worker.ID)
+			}
+			w.observe(e)
+		}
+		w.submit(advised(step(4, 4)))
+		w.run(4 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(on).To(ConsistOf("i-003", "i-003", "i-005", "i-005"))
+		Expect(w.asked).To(HaveLen(1))
+	})
+
+	It("places gangs on allowed workers only", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		only(w, "i-001", "i-002", "i-006")
+		spec := advised(gang(3, 8))
+		spec.Payload += " gang=3"
+		w.submit(spec)
+		w.run(4 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.alone).To(BeZero())
+	})
+
+	It("asks about at most thirty workers at once, and about others if none of these may run it", func() {
+		w := newWorld(1, 64)
+		w.run(time.Second)
+		only(w, "i-063")
+		w.submit(advised(step(1, 1)))
+		w.run(5 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(len(w.asked)).To(Equal(3))
+		for _, c := range w.asked {
+			Expect(len(c.Workers)).To(BeNumerically("<=", 30))
+		}
+	})
+
+	It("asks again once a ticket is over, and never about a worker that may not run the step", func() {
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		only(w, "i-001")
+		w.submit(domain.JobSpec{ID: "first", Payload: "work=6000", Steps: []domain.Step{step(2, 8)}})
+		for _, s := range w.workers {
+			s.Ticket = ""
+		}
+		w.run(1500 * time.Millisecond)
+		only(w, "i-001")
+		spec := advised(step(3, 8))
+		w.submit(spec)
+		w.run(20 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		named := map[string]int{}
+		for _, c := range w.asked {
+			for _, id := range c.Workers {
+				named[id]++
+			}
+		}
+		Expect(named["i-000"]).To(BeNumerically("<=", 1))
+	})
+
+	It("is asked again by a new leader", func() {
+		w := newWorld(1, 4)
+		w.run(time.Second)
+		only(w, "i-001")
+		w.submit(advised(step(6, 8)))
+		w.run(2500 * time.Millisecond)
+		w.elect()
+		w.run(20 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.faults).To(BeEmpty())
+	})
+})
+
+var _ = Describe("work that fills", func() {
+	// Guards against tails that stay over their target because of work that fills beside them.
+	It("is paced down while a tail nears its target, and let up afterwards", func() {
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		serving := step(1, 1)
+		serving.LongRunning, serving.TargetMS = true, 50
+		w.submit(domain.JobSpec{ID: "serving", Payload: "serve=30", Steps: []domain.Step{serving}})
+		w.run(2 * time.Second)
+		filling := step(4, 0)
+		filling.Fills = true
+		w.submit(domain.JobSpec{ID: "filling", Payload: "work=4000 fill=true", Steps: []domain.Step{filling}})
+		w.run(6 * time.Second)
+		id := domain.TaskID{Job: "serving"}
+		over := 0
+		for range 40 {
+			w.run(w.now + 100*time.Millisecond)
+			if w.workers[0].Tails()[id] > 50 {
+				over++
+			}
+		}
+		Expect(over).To(BeNumerically("<", 10), "tenths of a second over the target, of 40")
+	})
+
+	DescribeTable("changes its pace", func(pace int, worst float64, want int) {
+		Expect(dispatch.NextPace(pace, worst)).To(Equal(want))
+	},
+		Entry("over the target: stands still", 100, 1.1, 0),
+		Entry("near the target: half", 100, 0.9, 50),
+		Entry("near the target at a low pace: stands still", 12, 0.9, 0),
+		Entry("well below it: up", 40, 0.3, 50),
+		Entry("well below it at full pace", 100, 0.3, 100),
+		Entry("in between: as it is", 40, 0.7, 40),
+	)
+
+	It("goes where nothing serves", func() {
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		serving := step(1, 1)
+		serving.LongRunning, serving.TargetMS = true, 50
+		w.submit(domain.JobSpec{ID: "serving", Payload: "serve=30", Steps: []domain.Step{serving}})
+		w.run(2 * time.Second)
+		filling := step(2, 0)
+		filling.Fills = true
+		w.submit(domain.JobSpec{ID: "filling", Payload: "work=4000 fill=true", Steps: []domain.Step{filling}})
+		w.run(3 * time.Second)
+		on := w.running[domain.TaskID{Job: "serving"}].Worker.ID
+		for i := range 2 {
+			Expect(w.running[domain.TaskID{Job: "filling", Index: i}].Worker.ID).NotTo(Equal(on))
+		}
+	})
+})
+
+var _ = Describe("a wave of upkeep", func() {
+	machines := func(n int) []string {
+		var out []string
+		for i := range n {
+			out = append(out, fmt.Sprintf("m%d", i))
+		}
+		return out
+	}
+	start := func(w *world, n, atOnce int, within time.Duration) {
+		w.commit(&domain.Command{Wave: &domain.Wave{Number: 1, Machines: machines(n), MaxDown: atOnce, WithinMS: within.Milliseconds()}})
+	}
+	completed := func(w *world) bool { return w.machine.Waves()[1].Completed() }
+
+	It("takes each machine down once, no more at once than allowed, in time", func() {
+		w := newWorld(1, 6)
+		w.run(2 * time.Second)
+		start(w, 6, 2, 20*time.Second)
+		w.run(22 * time.Second)
+		Expect(completed(w)).To(BeTrue())
+		Expect(w.upkeeps).To(HaveLen(6))
+		Expect(w.maxDown).To(BeNumerically("<=", 2))
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("lets work end that ends in time, and loses no run to an upkeep", func() {
+		w := newWorld(1, 4)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=3000", Steps: []domain.Step{step(4, 8)}})
+		w.run(2 * time.Second)
+		start(w, 2, 1, 30*time.Second)
+		w.run(30 * time.Second)
+		Expect(completed(w)).To(BeTrue())
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.starts).To(Equal(4), "no task had to start again")
+	})
+
+	It("stops work that would make the wave late", func() {
+		w := newWorld(1, 4)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=60000", Steps: []domain.Step{step(3, 8)}})
+		w.run(2 * time.Second)
+		start(w, 3, 1, 18*time.Second)
+		w.run(20 * time.Second)
+		Expect(completed(w)).To(BeTrue())
+		Expect(w.maxDown).To(Equal(1))
+	})
+
+	It("goes on under a new leader, and orders nothing twice at once", func() {
+		w := newWorld(1, 4)
+		w.run(2 * time.Second)
+		start(w, 4, 1, 40*time.Second)
+		for i := range 8 {
+			w.run(time.Duration(3000+1700*i) * time.Millisecond)
+			w.elect()
+		}
+		w.run(80 * time.Second)
+		Expect(completed(w)).To(BeTrue())
+		Expect(w.upkeeps).To(HaveLen(4))
+		Expect(w.maxDown).To(Equal(1))
+	})
+
+	It("passes over a machine that is gone, and waits for one that is busy", func() {
+		w := newWorld(1, 4)
+		w.run(2 * time.Second)
+		busy := 3
+		w.refuse = func(c dispatch.UpkeepCall) dispatch.UpkeepStatus {
+			switch {
+			case c.Machine == "m0":
+				return dispatch.UpkeepNoMachine
+			case c.Machine == "m1" && busy > 0:
+				busy--
+				return dispatch.UpkeepBusy
+			}
+			return dispatch.UpkeepDone
+		}
+		start(w, 3, 1, 40*time.Second)
+		w.run(40 * time.Second)
+		Expect(completed(w)).To(BeTrue())
+		Expect(w.upkeeps).To(HaveLen(2))
+	})
+
+	It("keeps the lasting tasks of a step at work, but for as many as may be away", func() {
+		// Stopping the task of the next machine before the last one works again would end more than the step bears.
+		w := newWorld(1, 6)
+		w.run(time.Second)
+		lasting := step(4, 8)
+		lasting.LongRunning, lasting.MayMiss, lasting.PerWorkerLimit = true, 1, 1
+		w.submit(domain.JobSpec{ID: "j", Payload: "serve=10", Steps: []domain.Step{lasting}})
+		w.run(5 * time.Second)
+		Expect(w.running).To(HaveLen(4))
+		start(w, 6, 3, 30*time.Second)
+		fewest := 4
+		for range 400 {
+			w.run(w.now + 100*time.Millisecond)
+			fewest = min(fewest, len(w.running))
+		}
+		Expect(completed(w)).To(BeTrue())
+		Expect(fewest).To(Equal(3))
+	})
+})
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -27,7 +27,10 @@
 	Retention time.Duration // How long ended jobs are kept.
 	Restore   time.Duration // What an attempt needs to continue from a checkpoint.
 	Early     time.Duration // How much before its due time an occurrence may start.
-	Log       func(event string, keysAndValues ...any)
+	Upkeep    time.Duration // How long a machine is down for its upkeep.
+	// MachineLease is how long after one host's orders for a machine another host must wait with its own.
+	MachineLease time.Duration
+	Log          func(event string, keysAndValues ...any)
 }
 
 // CallKind tells what a call to a worker asks.
@@ -38,6 +41,7 @@
 	CallHold  CallKind = iota + 1 // Renews the lease, acknowledges ends, returns what runs.
 	CallStart                     // Starts an attempt. May be repeated.
 	CallStop                      // Stops an attempt, or makes the worker reject it for good.
+	CallPace                      // Sets the share of its time that an attempt works.
 )
 
 // Call is an order to a worker.
@@ -54,6 +58,8 @@
 	Attempt int
 	Payload string
 	Saved   string
+	Ticket  string // CallStart: what the policy of the queue gave for this worker, empty without a policy.
+	Percent int    // CallPace.
 }
 
 // Status tells how a call ended.
@@ -61,18 +67,19 @@
 
 // Statuses of a reply.
 const (
-	NoAnswer      Status = iota // The call may be carried out at any later time.
-	OK                          // Carried out, now or before.
-	RejectedFence               // The worker has seen a newer leader.
-	RejectedOld                 // The attempt was stopped or has ended there.
-	RejectedLate                // The lease in the order is over on the worker's clock.
-	RejectedRoom                // Not enough free capacity.
-	Unhealthy                   // The worker does nothing at present.
-	OtherLife                   // Another lifetime answers at this address.
-	BadCall                     // The worker did not understand the call.
+	NoAnswer       Status = iota // The call may be carried out at any later time.
+	OK                           // Carried out, now or before.
+	RejectedFence                // The worker has seen a newer leader.
+	RejectedOld                  // The attempt was stopped or has ended there.
+	RejectedLate                 // The lease in the order is over on the worker's clock.
+	RejectedRoom                 // Not enough free capacity.
+	Unhealthy                    // The worker does nothing at present.
+	OtherLife                    // Another lifetime answers at this address.
+	RejectedTicket               // The queue's policy does not allow it, or no longer.
+	BadCall                      // The worker did not understand the call.
 )
 
-var statusNames = [...]string{"no_answer", "ok", "fence", "old", "late", "room", "unhealthy", "other_life", "bad_call"}
+var statusNames = [...]string{"no_answer", "ok", "fence", "old", "late", "room", "unhealthy", "other_life", "ticket", "bad_call"}
 
 // String returns the name for logs.
 func (s Status) String() string { return statusNames[s] }
@@ -83,6 +90,7 @@
 	Attempt int
 	Saved   string
 	Percent int
+	Load    int64 // Of the last half second: the tail of a task that serves [ms], or the processor time in use.
 }
 
 // EndedTask is an end that a worker lists.
@@ -105,9 +113,11 @@
 type Output struct {
 	Commands []*domain.Command // To propose.
 	Calls    []Call
+	Advice   []AdviceCall
+	Upkeeps  []UpkeepCall
 }
 
-var callNames = [...]string{"", "hold", "start", "stop"}
+var callNames = [...]string{"", "hold", "start", "stop", "pace"}
 
 // String returns the name for logs.
 func (k CallKind) String() string { return callNames[k] }
--- /dev/null
+++ b/internal/dispatch/upkeep.go
@@ -0,0 +1,275 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/placement"
+)
+
+// UpkeepCall orders the upkeep of a machine at the platform. What runs on the machine ends when it is carried out.
+type UpkeepCall struct {
+	Wave    int64
+	Machine string
+	Fence   uint64
+}
+
+// UpkeepStatus tells how the call ended.
+type UpkeepStatus uint8
+
+// Statuses.
+const (
+	UpkeepUnanswered UpkeepStatus = iota // It may be carried out at any later time.
+	UpkeepDone                           // It has begun, now or before.
+	UpkeepFenced                         // A newer leader has given orders for this machine.
+	UpkeepBusy                           // The machine is not up, or leaves.
+	UpkeepNoMachine                      // There is no such machine, or not in this wave.
+	UpkeepTooMany                        // Too many calls; nothing was done.
+)
+
+var upkeepStatusNames = [...]string{"unanswered", "done", "fence", "busy", "no_machine", "too_many"}
+
+// String returns the name for logs.
+func (s UpkeepStatus) String() string { return upkeepStatusNames[s] }
+
+// Times of the upkeep of a machine.
+const (
+	upkeepEvery = 100 * time.Millisecond
+	upkeepRetry = 500 * time.Millisecond
+	// upkeepSlack is added to the time that a machine is down for its upkeep, for the way of the answer.
+	upkeepSlack = 300 * time.Millisecond
+	// upkeepReturn is how long the next machine waits for the worker of the last one, so that capacity does not shrink twice.
+	upkeepReturn = 3 * time.Second
+	// upkeepOverhead is what one machine takes besides its upkeep: the stops, the commits and the calls.
+	upkeepOverhead = 1500 * time.Millisecond
+)
+
+// upkeepState is what the leader remembers of a machine of a wave.
+type upkeepState struct {
+	draining  bool          // Its worker gets nothing new.
+	since     time.Duration // When the draining began.
+	begun     time.Duration // When the upkeep was confirmed.
+	next      time.Duration // Earliest time of the next call.
+	calling   bool
+	proposed  bool // A command about it is under way.
+	unsettled bool // An earlier call was not answered.
+}
+
+// upkeep moves the waves on.
+func (l *Leader) upkeep(now Time) {
+	if now.Mono < l.upkeepAt || len(l.m.Waves()) == 0 {
+		return
+	}
+	l.upkeepAt = now.Mono + upkeepEvery
+	workers := map[string]*domain.Worker{}
+	for _, w := range l.m.Workers() {
+		if w.Machine != "" {
+			workers[w.Machine] = w
+		}
+	}
+	for _, number := range slices.Sorted(maps.Keys(l.m.Waves())) {
+		if wave := l.m.Waves()[number]; !wave.Completed() {
+			l.advanceWave(now, wave, workers)
+		}
+	}
+}
+
+func (l *Leader) upkeepState(machine string) *upkeepState {
+	s := l.upkeeps[machine]
+	if s == nil {
+		s = &upkeepState{}
+		l.upkeeps[machine] = s
+	}
+	return s
+}
+
+// inUpkeep tells whether a worker gets nothing new because of its machine's upkeep.
+func (l *Leader) inUpkeep(w *domain.Worker) bool {
+	s := l.upkeeps[w.Machine]
+	return s != nil && s.draining && w.Machine != ""
+}
+
+func (l *Leader) advanceWave(now Time, wave *domain.Wave, workers map[string]*domain.Worker) {
+	free := wave.MaxDown
+	var waiting []string
+	for _, machine := range wave.Machines {
+		s := l.upkeepState(machine)
+		switch wave.Progress[machine].Stage {
+		case domain.UpkeepWaiting:
+			if !s.draining {
+				waiting = append(waiting, machine)
+				continue
+			}
+			l.drainMachine(now, wave, machine, s, workers[machine])
+		case domain.UpkeepOrdered:
+			s.draining = true
+			l.orderUpkeep(now, wave, machine, s)
+		case domain.UpkeepBegun:
+			s.draining = true
+			l.awaitReturn(now, wave, machine, s, workers[machine])
+		default:
+			s.draining = false
+			continue
+		}
+		free--
+	}
+	// Machines without a worker come last: they may be down or gone. Few attempts end soon.
+	slices.SortStableFunc(waiting, func(a, b string) int { return cmp.Compare(load(workers[a]), load(workers[b])) })
+	for _, machine := range waiting[:min(len(waiting), max(0, free))] {
+		s := l.upkeepState(machine)
+		s.draining, s.since = true, now.Mono
+		l.o.Log("upkeep_draining", "wave", wave.Number, "machine", machine, "attempts", load(workers[machine]))
+	}
+}
+
+// load returns the number of attempts on a worker, a large one if there is no worker.
+func load(w *domain.Worker) int {
+	if w == nil {
+		return 1 << 20
+	}
+	return len(w.Attempts())
+}
+
+// drainMachine empties the worker of a machine and then commits that the upkeep is ordered. Work that can go on elsewhere
+// without loss moves at once; the rest may finish as long as the wave keeps its time.
+func (l *Leader) drainMachine(now Time, wave *domain.Wave, machine string, s *upkeepState, w *domain.Worker) {
+	if w == nil || len(w.Attempts()) == 0 {
+		l.progressUpkeep(now, wave, machine, s, domain.UpkeepOrdered)
+		return
+	}
+	late := now.Mono-s.since > l.drainTime(now, wave)
+	for id := range w.Attempts() {
+		x := l.orders[id]
+		if x == nil || x.stop {
+			continue
+		}
+		step := l.stepOf(x)
+		if (late || step.LongRunning || step.Checkpointable) && l.mayStop(id) != 0 {
+			l.abandon(x, "upkeep of its machine")
+		}
+	}
+}
+
+// drainTime returns how long each machine of a wave may take to empty, for the wave to be in time.
+func (l *Leader) drainTime(now Time, wave *domain.Wave) time.Duration {
+	left := time.Duration(wave.AcceptedMS+wave.WithinMS-now.WallMS) * time.Millisecond
+	open := 0
+	for _, u := range wave.Progress {
+		if u.Stage == domain.UpkeepWaiting {
+			open++
+		}
+	}
+	rounds := (open + wave.MaxDown - 1) / wave.MaxDown
+	return left/time.Duration(max(1, rounds)) - l.o.Upkeep - upkeepOverhead
+}
+
+// orderUpkeep calls the platform until the outcome is clear. An order of an earlier leader is repeated only after its lease
+// on the machine, so that the platform does not see two holders take turns.
+func (l *Leader) orderUpkeep(now Time, wave *domain.Wave, machine string, s *upkeepState) {
+	inherited := wave.Progress[machine].AtMS < l.beganWallMS
+	if s.calling || s.proposed || now.Mono < s.next || (inherited && now.Mono < l.began+l.o.MachineLease) {
+		return
+	}
+	s.calling = true
+	s.unsettled = s.unsettled || inherited
+	l.out.Upkeeps = append(l.out.Upkeeps, UpkeepCall{Wave: wave.Number, Machine: machine, Fence: l.o.Fence})
+}
+
+// awaitReturn ends the upkeep of a machine once it is over for certain and its worker reports, or does not for long.
+func (l *Leader) awaitReturn(now Time, wave *domain.Wave, machine string, s *upkeepState, w *domain.Worker) {
+	if s.begun == 0 {
+		s.begun = now.Mono // Confirmed to an earlier leader.
+	}
+	over := s.begun + l.o.Upkeep + upkeepSlack
+	if now.Mono < over {
+		return
+	}
+	if w != nil {
+		if x := l.sessions[w.Life.ID]; x != nil && x.life == w.Life && x.reported >= over {
+			l.progressUpkeep(now, wave, machine, s, domain.UpkeepOver)
+			return
+		}
+	}
+	if now.Mono > over+upkeepReturn {
+		l.progressUpkeep(now, wave, machine, s, domain.UpkeepOver)
+	}
+}
+
+func (l *Leader) progressUpkeep(now Time, wave *domain.Wave, machine string, s *upkeepState, stage domain.UpkeepStage) {
+	if s.proposed {
+		return
+	}
+	s.proposed = true
+	l.propose(now, domain.Command{Upkeep: &domain.UpkeepProgress{Wave: wave.Number, Machine: machine, Stage: stage}})
+}
+
+// upkeepApplied follows a committed stage.
+func (l *Leader) upkeepApplied(p *domain.UpkeepProgress) {
+	s := l.upkeepState(p.Machine)
+	s.proposed = false
+	s.draining = p.Stage == domain.UpkeepOrdered || p.Stage == domain.UpkeepBegun
+	l.o.Log("upkeep", "wave", p.Wave, "machine", p.Machine, "stage", p.Stage.String())
+}
+
+// UpkeepReply takes the answer to an UpkeepCall.
+func (l *Leader) UpkeepReply(now Time, c UpkeepCall, status UpkeepStatus) {
+	wave := l.m.Waves()[c.Wave]
+	if wave == nil || wave.Progress[c.Machine] == nil || wave.Progress[c.Machine].Stage != domain.UpkeepOrdered {
+		return
+	}
+	s := l.upkeepState(c.Machine)
+	s.calling = false
+	s.next = now.Mono + upkeepRetry
+	if status != UpkeepDone {
+		l.o.Log("upkeep_not_begun", "wave", c.Wave, "machine", c.Machine, "reason", status.String())
+	}
+	switch status {
+	case UpkeepDone:
+		s.begun = now.Mono
+		l.progressUpkeep(now, wave, c.Machine, s, domain.UpkeepBegun)
+	case UpkeepFenced:
+		l.deposed = true
+	case UpkeepNoMachine:
+		l.progressUpkeep(now, wave, c.Machine, s, domain.UpkeepOver)
+	case UpkeepUnanswered:
+		s.unsettled = true
+	case UpkeepBusy:
+		if !s.unsettled { // Nothing of it can happen later: another machine may go first.
+			l.progressUpkeep(now, wave, c.Machine, s, domain.UpkeepWaiting)
+		}
+	}
+}
+
+// mayStop returns how many more tasks of the step of an attempt may be stopped now, placement.Unlimited without a limit.
+func (l *Leader) mayStop(id domain.TaskID) int {
+	j := l.m.Job(id.Job)
+	step := &j.Spec.Steps[id.Step]
+	if !step.LongRunning || step.MayMiss == 0 {
+		return placement.Unlimited
+	}
+	away := 0
+	for i := range step.Count {
+		other := id
+		other.Index = i
+		if i != id.Index && !l.atWork(other) {
+			away++
+		}
+	}
+	return max(0, step.MayMiss-away)
+}
+
+// atWork tells whether a lasting task is known to work.
+func (l *Leader) atWork(id domain.TaskID) bool {
+	x := l.orders[id]
+	if x == nil || !x.started || x.stop || x.percent < percentAtWork {
+		return false
+	}
+	s := l.sessions[x.life.ID]
+	return s != nil && s.life == x.life && s.failures == 0
+}
+
+// percentAtWork is the progress that a worker lists for a lasting task that works.
+const percentAtWork = 100
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -45,6 +45,13 @@
 	done    map[domain.TaskID]bool // Ends as done that have been committed.
 	alone   int
 	faults  []string
+	allowed map[string]bool // Workers that the policy of the queue "advised" allows.
+	asked   []dispatch.AdviceCall
+	upkeeps []dispatch.UpkeepCall
+	down    int // Machines that are down for their upkeep.
+	maxDown int
+	// refuse makes the platform refuse an upkeep, if it is set.
+	refuse func(dispatch.UpkeepCall) dispatch.UpkeepStatus
 }
 
 func newWorld(seed uint64, workers int) *world {
@@ -54,6 +61,7 @@
 	}
 	w.gangs.Events = w.observe
 	config := &domain.Config{Version: 1, Document: []byte("{}"), Pools: []domain.Pool{{Name: "pool"}},
+		Queues:     []domain.Queue{{Name: "q"}, {Name: "advised", PathPrefix: "/a/", Advice: &domain.Advice{DecideMS: 40, EachMS: 2, ValidMS: 3000}}},
 		Workspaces: []domain.Workspace{{Name: "w1", Keys: []string{"k1"}, GuaranteedAccelerators: int64(workers * 4)}}}
 	w.apply(domain.Command{Config: config})
 	for i := range workers {
@@ -80,7 +88,7 @@
 	if !w.cut[s.Life.ID] {
 		reg := &domain.Worker{
 			Life: s.Life, Pool: "pool", Address: fmt.Sprintf("10.0.0.%d:8080", i), Zone: fmt.Sprintf("z%d", i%3),
-			Rack: fmt.Sprintf("r%d", i/8), Labels: []string{"a", fmt.Sprintf("r%d", i/8)}, Capacity: s.Capacity,
+			Rack: fmt.Sprintf("r%d", i/8), Labels: []string{"a", fmt.Sprintf("r%d", i/8)}, Capacity: s.Capacity, Machine: fmt.Sprintf("m%d", i),
 		}
 		if !w.machine.Registered(reg) {
 			w.commit(&domain.Command{Register: reg})
@@ -100,7 +108,7 @@
 	w.term++
 	w.leader = dispatch.New(w.machine, dispatch.Options{
 		Fence: w.term, Lease: simworker.MaxLease, GangWait: simworker.GangWait, Report: reportEvery,
-		Retention: time.Minute, Restore: 600 * time.Millisecond, Log: func(string, ...any) {},
+		Retention: time.Minute, Restore: 600 * time.Millisecond, Upkeep: 2 * time.Second, MachineLease: 3 * time.Second, Log: func(string, ...any) {},
 	}, w.time())
 }
 
@@ -164,9 +172,73 @@
 	for _, c := range out.Calls {
 		w.carry(leader, c)
 	}
+	for _, c := range out.Advice {
+		w.advise(leader, c)
+	}
+	for _, c := range out.Upkeeps {
+		w.keepUp(leader, c)
+	}
 	w.at(w.now+tickEvery, w.tick)
 }
 
+// advise answers for the policy of the queue "advised".
+func (w *world) advise(leader *dispatch.Leader, c dispatch.AdviceCall) {
+	w.asked = append(w.asked, c)
+	r := dispatch.AdviceReply{Answered: true}
+	for _, id := range c.Workers {
+		if w.allowed[id] {
+			r.Good = append(r.Good, dispatch.AdvisedWorker{Worker: id, Ticket: "ticket"})
+		}
+	}
+	w.at(w.now+c.Wait, func() {
+		if leader == w.leader {
+			leader.Advised(w.time(), c.ID, r)
+		}
+	})
+}
+
+// keepUp takes a machine down for its upkeep and brings it back with a new worker.
+func (w *world) keepUp(leader *dispatch.Leader, c dispatch.UpkeepCall) {
+	answer := func(s dispatch.UpkeepStatus) {
+		w.at(w.now+oneWay, func() {
+			if leader == w.leader {
+				leader.UpkeepReply(w.time(), c, s)
+			}
+		})
+	}
+	if w.refuse != nil {
+		if s := w.refuse(c); s != dispatch.UpkeepDone {
+			answer(s)
+			return
+		}
+	}
+	if !slices.ContainsFunc(w.upkeeps, func(o dispatch.UpkeepCall) bool { return o.Machine == c.Machine && o.Wave == c.Wave }) {
+		w.upkeeps = append(w.upkeeps, c)
+		w.down++
+		w.maxDown = max(w.maxDown, w.down)
+		var i int
+		if _, err := fmt.Sscanf(c.Machine, "m%d", &i); err != nil {
+			panic(err)
+		}
+		w.crash(w.worker(fmt.Sprintf("i-%03d", i)))
+		w.at(w.now+2*time.Second, func() {
+			w.down--
+			w.addWorker(fmt.Sprintf("i-%03d", i), i)
+		})
+	}
+	answer(dispatch.UpkeepDone)
+}
+
+func (w *world) worker(id string) *simworker.Worker {
+	return w.workers[slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Life.ID == id })]
+}
+
+// crash ends a worker without a word.
+func (w *world) crash(s *simworker.Worker) {
+	s.Crash(w.now)
+	w.workers = slices.DeleteFunc(w.workers, func(x *simworker.Worker) bool { return x == s })
+}
+
 // carry takes a call to its worker and the answer back.
 func (w *world) carry(leader *dispatch.Leader, c dispatch.Call) {
 	i := slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Life.ID == c.Worker.ID })
--- a/internal/domain/command.go
+++ b/internal/domain/command.go
@@ -18,6 +18,8 @@
 	End      *EndAttempts    `cbor:"9,keyasint,omitempty"`
 	Release  *ReleaseOccur   `cbor:"10,keyasint,omitempty"`
 	Purge    *PurgeEndedJobs `cbor:"11,keyasint,omitempty"`
+	Wave     *Wave           `cbor:"12,keyasint,omitempty"` // Asks for a new wave: its progress is not set.
+	Upkeep   *UpkeepProgress `cbor:"13,keyasint,omitempty"`
 }
 
 // SetZone takes an availability zone out of service or back.
--- a/internal/domain/config.go
+++ b/internal/domain/config.go
@@ -12,6 +12,14 @@
 	TargetMS    int64   `cbor:"8,keyasint,omitempty"`
 	TimeoutMS   int64   `cbor:"9,keyasint,omitempty"`
 	Public      bool    `cbor:"10,keyasint,omitempty"` // Calls need no key.
+	Advice      *Advice `cbor:"11,keyasint,omitempty"` // Set if a policy says which workers may run a step.
+}
+
+// Advice tells how long the service answers that knows the policy of a queue, in milliseconds.
+type Advice struct {
+	DecideMS int64 `cbor:"1,keyasint,omitempty"` // Of each call.
+	EachMS   int64 `cbor:"2,keyasint,omitempty"` // Besides, of each worker in a call.
+	ValidMS  int64 `cbor:"3,keyasint,omitempty"` // How long a ticket is good for.
 }
 
 // Pool is a service of the configuration.
@@ -41,6 +49,7 @@
 type configIndex struct {
 	byKey  map[string]string  // Workspace by key.
 	byHost map[string][]Queue // Queues by host, longest prefix first.
+	queues map[string]Queue   // By name.
 	pools  map[string]Pool
 	spaces map[string]Workspace
 }
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -36,6 +36,7 @@
 	Workers  map[string]*Worker `cbor:"4,keyasint,omitempty"`
 	Sequence uint64             `cbor:"5,keyasint,omitempty"`
 	RunTimes map[string]int64   `cbor:"6,keyasint,omitempty"` // By queue, see RunTime.
+	Waves    map[int64]*Wave    `cbor:"7,keyasint,omitempty"`
 }
 
 // New returns an empty machine.
@@ -78,6 +79,9 @@
 	if s.RunTimes == nil {
 		s.RunTimes = map[string]int64{}
 	}
+	if s.Waves == nil {
+		s.Waves = map[int64]*Wave{}
+	}
 	m.state = s
 	m.open = map[JobID]*Job{}
 	m.busyEnded = map[JobID]*Job{}
@@ -133,12 +137,14 @@
 	x := configIndex{
 		byKey:  map[string]string{},
 		byHost: map[string][]Queue{},
+		queues: map[string]Queue{},
 		pools:  map[string]Pool{},
 		spaces: map[string]Workspace{},
 	}
 	if c := m.state.Config; c != nil {
 		for _, q := range c.Queues {
 			x.byHost[q.Host] = append(x.byHost[q.Host], q)
+			x.queues[q.Name] = q
 		}
 		for _, list := range x.byHost {
 			slices.SortFunc(list, func(a, b Queue) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
@@ -179,6 +185,10 @@
 		return m.applyRelease(c.Release)
 	case c.Purge != nil:
 		return m.applyPurge(c.Purge.BeforeMS)
+	case c.Wave != nil:
+		return m.applyWave(c.Wave, c.AtMS)
+	case c.Upkeep != nil:
+		return m.applyUpkeep(c.Upkeep, c.AtMS)
 	}
 	return NotChanged
 }
@@ -217,6 +227,9 @@
 	return Queue{}, false
 }
 
+// AdviceFor returns how the policy of a queue is asked, nil if it has none.
+func (m *Machine) AdviceFor(queue string) *Advice { return m.index.queues[queue].Advice }
+
 // WorkspaceOf returns the workspace that holds a key.
 func (m *Machine) WorkspaceOf(key string) (string, bool) {
 	w, ok := m.index.byKey[key]
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -237,6 +237,26 @@
 		Expect(f.Job("j")).To(BeNil())
 	})
 
+	It("keeps a wave until its machines have had their upkeep, stage by stage", func() {
+		f := newFixture()
+		wave := domain.Wave{Number: 3, Machines: []string{"m1", "m2"}, MaxDown: 1}
+		Expect(f.do(domain.Command{Wave: &wave})).To(Equal(domain.Applied))
+		again := domain.Wave{Number: 3, Machines: []string{"m9"}, MaxDown: 5}
+		Expect(f.do(domain.Command{Wave: &again})).To(Equal(domain.NotChanged), "the first one under a number holds")
+		to := func(machine string, stage domain.UpkeepStage) domain.Result {
+			return f.do(domain.Command{Upkeep: &domain.UpkeepProgress{Wave: 3, Machine: machine, Stage: stage}})
+		}
+		Expect(to("m9", domain.UpkeepOrdered)).To(Equal(domain.NotFound))
+		Expect(to("m1", domain.UpkeepOrdered)).To(Equal(domain.Applied))
+		Expect(f.Waves()[3].Down()).To(Equal(1))
+		Expect(to("m1", domain.UpkeepBegun)).To(Equal(domain.Applied))
+		Expect(to("m1", domain.UpkeepOrdered)).To(Equal(domain.NotChanged), "a stage never goes back")
+		Expect(to("m1", domain.UpkeepOver)).To(Equal(domain.Applied))
+		Expect(f.Waves()[3].Completed()).To(BeFalse())
+		Expect(to("m2", domain.UpkeepOver)).To(Equal(domain.Applied))
+		Expect(f.Waves()[3].Completed()).To(BeTrue())
+	})
+
 	It("completes a scheduled job after its last occurrence", func() {
 		f := newFixture()
 		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single, RepeatCount: 2, StartAtMS: 1, IntervalMS: 1})
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -29,6 +29,11 @@
 	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// StepName returns the form JOB.OCCURRENCE.STEP.
+func (t TaskID) StepName() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
+}
+
 // Compare orders tasks by job, occurrence, step and index.
 func (t TaskID) Compare(o TaskID) int {
 	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step),
@@ -74,6 +79,24 @@
 	return r.CPU <= free.CPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
 }
 
+// Copies returns how many times this amount can be taken from the free amount, at most maxCopies.
+func (r Resources) Copies(free Resources) int {
+	n := int64(maxCopies)
+	if r.CPU > 0 {
+		n = min(n, free.CPU/r.CPU)
+	}
+	if r.MemoryMB > 0 {
+		n = min(n, free.MemoryMB/r.MemoryMB)
+	}
+	if r.Accelerators > 0 {
+		n = min(n, free.Accelerators/r.Accelerators)
+	}
+	return int(max(0, n))
+}
+
+// maxCopies bounds Copies for tasks that take nothing; above the tasks of any job.
+const maxCopies = 1 << 20
+
 // Step describes equal tasks of a job.
 type Step struct {
 	Count          int       `cbor:"1,keyasint"`
@@ -186,6 +209,8 @@
 	Started int64      `cbor:"6,keyasint,omitempty"` // When the newest attempt was committed, Unix milliseconds.
 	// FailedOn lists the workers on which attempts failed.
 	FailedOn []string `cbor:"7,keyasint,omitempty"`
+	// SavedAtStop is the attempt whose stop made Saved, which no periodic checkpoint of that attempt is newer than.
+	SavedAtStop int `cbor:"8,keyasint,omitempty"`
 }
 
 // Occupied tells whether an attempt of the task may be present on a worker.
@@ -209,8 +234,6 @@
 
 // Task returns a task, nil if it does not exist or is not due yet.
 func (j *Job) Task(id TaskID) *Task {
-	// SavedAtStop is the attempt whose stop made Saved, which no periodic checkpoint of that attempt is newer than.
-	SavedAtStop int `cbor:"8,keyasint,omitempty"`
 	if id.Occurrence >= len(j.Occurrences) || id.Step >= len(j.Spec.Steps) {
 		return nil
 	}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -25,6 +25,7 @@
 	free   domain.Resources // What can be started on now.
 	future domain.Resources // free, plus what is being stopped.
 	placed map[*Unit]int
+	filled int64 // Processor time that tasks placed by this decision fill.
 	tasks  []Running
 	asked  bool // tasks holds.
 }
@@ -56,7 +57,7 @@
 	}
 	d.spare = int(spareShare * float64(len(d.slots)))
 	units := slices.Clone(v.Units)
-	slices.SortStableFunc(units, d.order)
+	slices.SortStableFunc(units, Order)
 	for _, u := range units {
 		if u.step().Gang {
 			d.placeGang(u)
@@ -67,8 +68,8 @@
 	return d.plan
 }
 
-// order puts urgent work first, then what can still earn, by the time at which its objective passes.
-func (d *decision) order(a, b *Unit) int {
+// Order puts urgent work first, then what can still earn, by the time at which its objective passes.
+func Order(a, b *Unit) int {
 	rank := func(u *Unit) int {
 		switch {
 		case u.Guaranteed:
@@ -115,6 +116,9 @@
 	if d.kept(u, s) {
 		return false
 	}
+	if u.Advised != nil && !u.Advised[s.Life.ID] {
+		return false
+	}
 	if s.Pool != u.Job.Spec.Pool || (step.Label != "" && !slices.Contains(s.Labels, step.Label)) {
 		return false
 	}
@@ -136,6 +140,9 @@
 	}
 	s.free = s.free.Minus(demand)
 	s.future = s.future.Minus(demand)
+	if u.step().Fills {
+		s.filled += u.step().Task.CPU
+	}
 	if s.placed == nil {
 		s.placed = map[*Unit]int{}
 	}
@@ -147,6 +154,9 @@
 	s.free = s.free.Plus(demand)
 	s.future = s.future.Plus(demand)
 	s.placed[u]--
+	if u.step().Fills {
+		s.filled -= u.step().Task.CPU
+	}
 	if s.empty() {
 		d.whole++
 	}
@@ -188,13 +198,35 @@
 		if !demand.Fits(s.free) || !d.allowed(u, s) || d.roomByLimit(u, s) <= 0 {
 			continue
 		}
-		if best == nil || tighter(s, best, failedOn) {
+		if best == nil || u.prefers(s, best, failedOn) {
 			best = s
 		}
 	}
 	return best
 }
 
+// prefers compares two workers with room for a task.
+func (u *Unit) prefers(a, b *slot, failedOn []string) bool {
+	if u.step().Fills {
+		return calmer(a, b, failedOn)
+	}
+	return tighter(a, b, failedOn)
+}
+
+// calmer prefers workers without tasks that serve, which work that fills would disturb, then those that leave most
+// processor time unused.
+func calmer(a, b *slot, failedOn []string) bool {
+	return cmp.Or(
+		cmp.Compare(failures(failedOn, a), failures(failedOn, b)),
+		cmp.Compare(a.Serving, b.Serving),
+		cmp.Compare(b.unused(), a.unused()),
+		cmp.Compare(a.Life.ID, b.Life.ID),
+	) < 0
+}
+
+// unused returns the processor time that neither ordinary tasks nor those that fill are expected to use.
+func (s *slot) unused() int64 { return s.free.CPU - s.FillCPU - s.filled }
+
 // tighter prefers workers on which the task has not failed, then those with the least free capacity, so that whole
 // workers stay free for large gangs.
 func tighter(a, b *slot, failedOn []string) bool {
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -43,7 +43,7 @@
 func (f *fixture) occupy(worker int, accelerators int64, priority int) domain.TaskID {
 	w := f.view.Workers[worker]
 	id := domain.TaskID{Job: domain.JobID(fmt.Sprintf("on-%d-%d", worker, len(f.tasks[w.Life.ID])))}
-	f.tasks[w.Life.ID] = append(f.tasks[w.Life.ID], placement.Running{Task: id, Demand: demand(accelerators), Priority: priority, Members: 1, UnsavedMS: 3000})
+	f.tasks[w.Life.ID] = append(f.tasks[w.Life.ID], placement.Running{Task: id, Demand: demand(accelerators), Priority: priority, Members: 1, UnsavedMS: 3000, MayStop: placement.Unlimited})
 	w.Free = w.Free.Minus(demand(accelerators))
 	return id
 }
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -73,7 +73,7 @@
 		if !d.allowed(u, s) {
 			continue
 		}
-		room := min(copies(demand, s.Total), d.roomByLimit(u, s))
+		room := min(demand.Copies(s.Total), d.roomByLimit(u, s))
 		for ; room > 0 && len(out) < len(u.Indexes); room-- {
 			out = append(out, s)
 		}
@@ -165,7 +165,7 @@
 		if s.empty() {
 			whole--
 		}
-		room := min(copies(demand, s.free), d.roomByLimit(u, s))
+		room := min(demand.Copies(s.free), d.roomByLimit(u, s))
 		for ; room > 0 && len(out) < len(u.Indexes); room-- {
 			out = append(out, s)
 		}
@@ -176,28 +176,13 @@
 	return out
 }
 
-// copies returns how many times a demand fits into what is free.
-func copies(demand, free domain.Resources) int {
-	n := int64(1 << 20)
-	if demand.CPU > 0 {
-		n = min(n, free.CPU/demand.CPU)
-	}
-	if demand.MemoryMB > 0 {
-		n = min(n, free.MemoryMB/demand.MemoryMB)
-	}
-	if demand.Accelerators > 0 {
-		n = min(n, free.Accelerators/demand.Accelerators)
-	}
-	return int(max(0, n))
-}
-
 // couldHold tells whether workers could hold a whole gang if nothing else ran there.
 func (d *decision) couldHold(u *Unit, slots []*slot) bool {
 	demand := u.step().Demand()
 	n := 0
 	for _, s := range slots {
 		if d.allowed(u, s) {
-			n += min(copies(demand, s.Total), cmp.Or(u.step().PerWorkerLimit, 1<<20))
+			n += min(demand.Copies(s.Total), cmp.Or(u.step().PerWorkerLimit, 1<<20))
 		}
 	}
 	return n >= len(u.Indexes)
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -125,7 +125,7 @@
 	}
 	var candidates []Running
 	for _, t := range d.tasks(s) {
-		if t.Priority > u.Job.Spec.Priority && !t.Stopping && !d.gone[t.Task] {
+		if t.Priority > u.Job.Spec.Priority && !t.Stopping && !d.gone[t.Task] && d.mayStop(t) {
 			candidates = append(candidates, t)
 		}
 	}
@@ -143,6 +143,20 @@
 	return nil, 0, false
 }
 
+// mayStop tells whether the step of an attempt bears the loss of one more task.
+func (d *decision) mayStop(t Running) bool {
+	if t.MayStop == Unlimited {
+		return true
+	}
+	stopped := 0
+	for id := range d.gone {
+		if id.Job == t.Task.Job && id.Occurrence == t.Task.Occurrence && id.Step == t.Task.Step {
+			stopped++
+		}
+	}
+	return stopped < t.MayStop
+}
+
 // tasks returns the attempts on a worker.
 func (d *decision) tasks(s *slot) []Running {
 	if !s.asked {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -18,6 +18,8 @@
 	// Total is the capacity, Stopping the part of it that attempts take which have been told to stop.
 	Total    domain.Resources
 	Stopping domain.Resources
+	Serving  int   // Tasks with a latency target.
+	FillCPU  int64 // Processor time that tasks which fill ask for, in thousandths of a core.
 }
 
 // Running is an attempt on a worker.
@@ -25,26 +27,31 @@
 	Task     domain.TaskID
 	Demand   domain.Resources
 	Priority int
-	Members  int   // How many attempts end with it: the members of a gang, or 1.
-	Stopping bool  // Its capacity becomes free soon.
+	Members  int  // How many attempts end with it: the members of a gang, or 1.
+	Stopping bool // Its capacity becomes free soon.
 	// UnsavedMS is the work that a stop throws away, the start-up included. A stop saves a checkpoint, so that an attempt that
 	// can save loses the time of its restore only.
 	UnsavedMS int64
-	Pressed  bool  // Its job becomes late if it has to start again.
+	Pressed   bool // Its job becomes late if it has to start again.
+	MayStop   int  // How many more tasks of its step may be stopped now.
 }
 
+// Unlimited is the value of Running.MayStop without a limit.
+const Unlimited = -1
+
 // Unit is work that starts together: a gang, or the waiting tasks of a step that are equal and independent.
 type Unit struct {
 	Job        *domain.Job
 	Occurrence int
 	Step       int
-	Indexes    []int // Waiting tasks.
-	RunMS      int64 // Expected run time of a task.
-	WaitedMS   int64 // Since its dependencies were met.
-	DueMS      int64 // When the job's objective passes, Unix milliseconds.
-	Hopeless   bool  // Nothing is left to earn: three times the objective has passed.
-	MayReclaim bool  // May end work of lower priority.
-	Guaranteed bool  // Within its workspace's guarantee: must start within a bound.
+	Indexes    []int           // Waiting tasks.
+	RunMS      int64           // Expected run time of a task.
+	WaitedMS   int64           // Since its dependencies were met.
+	DueMS      int64           // When the job's objective passes, Unix milliseconds.
+	Advised    map[string]bool // If set, the workers that the queue's policy allows.
+	Hopeless   bool            // Nothing is left to earn: three times the objective has passed.
+	MayReclaim bool            // May end work of lower priority.
+	Guaranteed bool            // Within its workspace's guarantee: must start within a bound.
 }
 
 func (u *Unit) step() *domain.Step { return &u.Job.Spec.Steps[u.Step] }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -83,9 +83,11 @@
 	BringZoneIn
 	Register   // A worker's report about itself.
 	Deregister // A worker has ended.
+	StartWave  // An operator's request for the upkeep of machines.
+	GetWave
 )
 
-var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister"}
+var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister", "start_wave", "get_wave"}
 
 // String returns the name for logs.
 func (k OperationKind) String() string { return operationNames[k] }
@@ -96,7 +98,8 @@
 	Config  *domain.Config
 	Zone    string
 	Worker  *domain.Worker
-	ClockMS int64 // Register: the worker's clock.
+	Wave    *domain.Wave // GetWave: only its number.
+	ClockMS int64        // Register: the worker's clock.
 }
 
 // Outcome tells what became of an operation.
@@ -108,11 +111,12 @@
 	Done
 	NotServing // Not carried out: no leader is known here, or there is no configuration.
 	Elsewhere  // Not carried out: Result.Leader leads.
+	Missing    // There is no such thing.
 )
 
 // Result answers an operation.
 type Result struct {
 	Outcome  Outcome
-	Document []byte // GetConfig: as the operator sent it.
+	Document []byte // GetConfig: as the operator sent it. GetWave: one byte, 1 if the wave is completed.
 	Leader   string
 }
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -2,7 +2,8 @@
 // and gangs. It has no I/O and no clock; the caller passes the time in.
 //
 // What an attempt does is told by its payload, a list of key=value pairs: work=MS, fail=true (ends as failed),
-// hang=true (makes no progress), gang=N (members that must be present).
+// hang=true (makes no progress), gang=N (members that must be present), serve=MS (never ends; MS is its tail when nothing
+// fills beside it), fill=true (disturbs those that serve on its worker).
 package simworker
 
 import (
@@ -28,6 +29,9 @@
 	Fail bool
 	Hang bool
 	Gang int
+	// Serve is the tail of a task that serves, 0 for other tasks.
+	Serve int64
+	Fill  bool
 }
 
 // ParseProgram reads a payload. Unknown words are ignored.
@@ -43,6 +47,10 @@
 			p.Fail = value == "true"
 		case "hang":
 			p.Hang = value == "true"
+		case "serve":
+			p.Serve = int64(n)
+		case "fill":
+			p.Fill = value == "true"
 		case "gang":
 			p.Gang = n
 		}
@@ -90,6 +98,7 @@
 	began   time.Duration // When it came, or when its gang was complete.
 	came    time.Duration
 	base    time.Duration // Work that its checkpoint covers.
+	pace    int           // Percent.
 }
 
 // Worker is one lifetime of a worker.
@@ -99,6 +108,7 @@
 	Rate     float64 // Of its clock, against true time.
 	Broken   bool    // All attempts fail at once.
 	Stuck    bool    // Attempts make no progress.
+	Ticket   string  // What starts must carry, empty for none.
 	crashed  bool
 	gangs    *Gangs
 	born     time.Duration
@@ -146,7 +156,7 @@
 		}
 	case a.program.Fail || w.Broken:
 		w.end(now, a, domain.OutcomeFailed)
-	case a.program.Hang || w.Stuck:
+	case a.program.Hang || w.Stuck || a.program.Serve > 0:
 	case a.base+now-a.began >= a.program.Work:
 		w.end(now, a, domain.OutcomeDone)
 	}
@@ -185,6 +195,10 @@
 		w.lists(now, &r)
 	case dispatch.CallStart:
 		r.Status = w.start(now, c)
+	case dispatch.CallPace:
+		if a := w.running[c.Task]; a != nil && a.number == c.Attempt {
+			a.pace = c.Percent
+		}
 	case dispatch.CallStop:
 		w.highest[c.Task] = max(w.highest[c.Task], c.Attempt)
 		if a := w.running[c.Task]; a != nil && a.number <= c.Attempt {
@@ -210,8 +224,11 @@
 	if c.UntilMS <= w.Clock(now) {
 		return dispatch.RejectedLate
 	}
+	if c.Ticket != w.Ticket {
+		return dispatch.RejectedTicket
+	}
 	w.extend(now, c.UntilMS)
-	a := &attempt{worker: w, task: c.Task, number: c.Attempt, program: ParseProgram(c.Payload), began: now, came: now}
+	a := &attempt{worker: w, task: c.Task, number: c.Attempt, program: ParseProgram(c.Payload), began: now, came: now, pace: 100}
 	if ms, err := strconv.Atoi(c.Saved); err == nil {
 		a.base = time.Duration(ms) * time.Millisecond
 	}
@@ -242,7 +259,7 @@
 func (w *Worker) lists(now time.Duration, r *dispatch.Reply) {
 	r.Lists = true
 	for _, a := range w.list() {
-		r.Running = append(r.Running, dispatch.RunningTask{Task: a.task, Attempt: a.number, Percent: a.percent(now), Saved: a.saved(now)})
+		r.Running = append(r.Running, dispatch.RunningTask{Task: a.task, Attempt: a.number, Percent: a.percent(now), Saved: a.saved(now), Load: a.load()})
 	}
 	r.Ended = slices.Clone(w.ended)
 }
@@ -254,7 +271,38 @@
 	return a.base + now - a.began
 }
 
+// fillDisturbs is by how much an attempt that fills at full pace lengthens the tails on its worker, in milliseconds.
+const fillDisturbs = 40
+
+// load returns the tail of an attempt that serves.
+func (a *attempt) load() int64 {
+	if a.program.Serve == 0 {
+		return 0
+	}
+	tail := a.program.Serve
+	for _, other := range a.worker.running {
+		if other.program.Fill {
+			tail += int64(fillDisturbs * other.pace / 100)
+		}
+	}
+	return tail
+}
+
+// Tails returns the tails of the attempts that serve.
+func (w *Worker) Tails() map[domain.TaskID]int64 {
+	out := map[domain.TaskID]int64{}
+	for id, a := range w.running {
+		if a.program.Serve > 0 {
+			out[id] = a.load()
+		}
+	}
+	return out
+}
+
 func (a *attempt) percent(now time.Duration) int {
+	if a.program.Serve > 0 {
+		return 100
+	}
 	if a.program.Work == 0 {
 		return 0
 	}
