domain: work that ended behind a cut counts as done

Cause: a worker that is cut off one way ends a task as done; its leases are over before the end is heard, the task starts again, and the end, once listed, was acknowledged and ignored. Ruled out: a stall of the planning (the leader planned other work all the time), the worker that ran the last attempt (its other ends were taken at once). Change: a task remembers attempts given up as lost; one that is listed as done makes it done, and a newer attempt is stopped. Tests in domain and dispatch, both fail without the change.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -158,7 +158,7 @@
 			s.nextHold = now.Mono
 		}
 		for _, e := range c.End.Ends {
-			l.conclude(now, e.Task)
+			l.conclude(now, e)
 		}
 	case c.Cancel != nil:
 		l.stopJob(c.Cancel.Job, "cancelled")
@@ -181,8 +181,10 @@
 		"waited_ms", now.WallMS-j.AcceptedMS, "failed_before", t.Failed)
 }
 
-// conclude drops the order of a task that is on no worker any more, and stops what is left of a job that has ended.
-func (l *Leader) conclude(now Time, id domain.TaskID) {
+// conclude drops the order of a task that is on no worker any more, and stops what is left of a job that has ended, or of
+// a task that an earlier attempt has done.
+func (l *Leader) conclude(now Time, e domain.AttemptEnd) {
+	id := e.Task
 	j := l.m.Job(id.Job)
 	if j == nil || !j.Task(id).Occupied() {
 		l.drop(id)
@@ -190,6 +192,10 @@
 	if j == nil {
 		return
 	}
+	if x := l.orders[id]; x != nil && e.Outcome == domain.OutcomeDone && e.Attempt < x.attempt {
+		l.o.Log("attempt_not_needed", "job", id.Job, "task", id.String(), "attempt", x.attempt, "worker", x.life.ID, "done_by", e.Attempt)
+		l.abandon(x, "an earlier attempt is done")
+	}
 	if j.State.Final() {
 		if j.State != domain.JobCompleted { // The members of a gang that is done end by themselves.
 			l.stopJob(id.Job, j.State.String())
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -134,6 +134,27 @@
 		Expect(w.faults).To(BeEmpty())
 	})
 
+	It("takes work as done that ended behind a cut, and stops the attempt that took its place", func() {
+		// Found by the day cut-then-idle of sodnasled-prod-grown, seed 391764568752.
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		second := step(1, 1)
+		second.DependsOn = []int{0}
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=9000", Steps: []domain.Step{step(1, 1), second}})
+		w.run(2 * time.Second)
+		first := domain.TaskID{Job: "j"}
+		victim := w.running[first].Worker.ID
+		w.cut[victim] = true
+		w.run(14 * time.Second)
+		Expect(w.running[first].Attempt).To(Equal(2))
+		w.heal(victim)
+		w.run(16 * time.Second)
+		Expect(w.running).NotTo(HaveKey(first))
+		Expect(w.running).To(HaveKey(domain.TaskID{Job: "j", Step: 1}))
+		w.run(30 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	})
+
 	It("repeats no start whose loss is being committed", func() {
 		// The worker answered again while the loss was under way; the start was sent once more, and the task began elsewhere too.
 		w := newWorld(1, 2)
--- a/internal/domain/apply_attempt.go
+++ b/internal/domain/apply_attempt.go
@@ -2,8 +2,11 @@
 
 import "slices"
 
-// maxFailedOn bounds the list of workers on which a task failed.
-const maxFailedOn = 8
+// Bounds of the lists that a task keeps.
+const (
+	maxFailedOn = 8 // Workers on which it failed.
+	maxLost     = 8 // Attempts that were given up.
+)
 
 // applyStart begins attempts. An assignment whose task or worker has changed since the plan was made, or for which there is
 // no room any more, is left out; the members of a gang are left out together. Whoever plans, no worker is overcommitted.
@@ -107,15 +110,18 @@
 	return Applied
 }
 
-// endAttempt records the end of one attempt. Ends of older attempts only change what their outcome still can: an
-// attempt that ended as done before a newer one began counts as done.
+// endAttempt records the end of one attempt.
 func (m *Machine) endAttempt(life WorkerLife, x AttemptEnd, at int64) {
 	j := m.state.Jobs[x.Task.Job]
 	if j == nil {
 		return
 	}
 	t := j.Task(x.Task)
-	if t == nil || t.Attempt != x.Attempt || t.Worker != life {
+	if t == nil {
+		return
+	}
+	if t.Attempt != x.Attempt || t.Worker != life {
+		m.endOldAttempt(j, t, x, at)
 		return
 	}
 	m.vacate(x.Task, j, t)
@@ -125,6 +131,9 @@
 		return
 	}
 	switch x.Outcome {
+	case OutcomeLost:
+		t.Lost = append(t.Lost, x.Attempt)
+		t.Lost = t.Lost[max(0, len(t.Lost)-maxLost):]
 	case OutcomeDone:
 		m.learnRunTime(j.Spec.Queue, at-t.Started)
 		m.finishTask(j, x.Task)
@@ -152,6 +161,16 @@
 	}
 }
 
+// endOldAttempt records the end of an attempt that was given up as lost. Only work that is done counts still: its task needs
+// no other attempt, and one that has begun meanwhile is stopped by the leader.
+func (m *Machine) endOldAttempt(j *Job, t *Task, x AttemptEnd, at int64) {
+	if x.Outcome != OutcomeDone || !slices.Contains(t.Lost, x.Attempt) || t.Done || j.State.Final() {
+		return
+	}
+	m.finishTask(j, x.Task)
+	m.settle(j, x.Task.Occurrence, at)
+}
+
 // Weights of the moving average of run times.
 const (
 	runTimeMemory = 16 // Ended tasks that the average goes back.
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -227,6 +227,12 @@
 	return Queue{}, false
 }
 
+// QueueNamed returns a queue by its name.
+func (m *Machine) QueueNamed(name string) (Queue, bool) {
+	q, ok := m.index.queues[name]
+	return q, ok
+}
+
 // AdviceFor returns how the policy of a queue is asked, nil if it has none.
 func (m *Machine) AdviceFor(queue string) *Advice { return m.index.queues[queue].Advice }
 
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -154,6 +154,27 @@
 		Entry("lost", domain.OutcomeLost, domain.JobRunning),
 	)
 
+	It("counts work as done that a worker lists only after it was given up as lost", func() {
+		// The end was acknowledged and ignored; the task ran again, and the steps behind it waited.
+		f := newFixture()
+		second := single[0]
+		second.DependsOn = []int{0}
+		f.submit(domain.JobSpec{ID: "j", Steps: []domain.Step{single[0], second}})
+		f.start(id("j", 0))
+		f.end(id("j", 0), 1, domain.OutcomeLost, "")
+		f.start(id("j", 0))
+		f.end(id("j", 0), 1, domain.OutcomeFailed, "")
+		Expect(f.Job("j").Task(id("j", 0)).Failed).To(BeZero(), "a failure that was given up as lost is no attempt of the budget")
+		f.end(id("j", 0), 1, domain.OutcomeDone, "")
+		Expect(f.Job("j").Task(id("j", 0)).Done).To(BeTrue())
+		Expect(f.Job("j").Task(id("j", 0)).Occupied()).To(BeTrue(), "the second attempt is present until its end is listed")
+		Expect(f.Job("j").Ready(f.Job("j").Occurrences[0], 1)).To(BeTrue())
+		f.end(id("j", 0), 2, domain.OutcomeStopped, "")
+		Expect(f.start(id("j", 0))).To(Equal(domain.NotChanged))
+		f.end(id("j", 0), 7, domain.OutcomeDone, "")
+		Expect(f.Job("j").State).To(Equal(domain.JobRunning))
+	})
+
 	DescribeTable("continues a gang from the checkpoint of its stop, whatever order the ends come in", func(first, second int) {
 		// The checkpoints of all members but the first were dropped, and an older one could replace that of the stop.
 		f := newFixture()
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -211,6 +211,8 @@
 	FailedOn []string `cbor:"7,keyasint,omitempty"`
 	// SavedAtStop is the attempt whose stop made Saved, which no periodic checkpoint of that attempt is newer than.
 	SavedAtStop int `cbor:"8,keyasint,omitempty"`
+	// Lost lists the newest attempts that were given up because their worker was silent. One of them may still be listed as done.
+	Lost []int `cbor:"9,keyasint,omitempty"`
 }
 
 // Occupied tells whether an attempt of the task may be present on a worker.
