placement: while most capacity is idle, no work that fits waits for longer than two seconds

Change: below half of accelerators and processors in use, patience is 2 s, and after it neither kept workers nor held places count. Tests: three in decide_test that replay such loads; all fail without the change.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -31,19 +31,22 @@
 }
 
 type decision struct {
-	view  *View
-	whole int // Usable workers on which nothing runs.
-	held  int // Places held for large gangs.
-	spare int // How many of them are kept for urgent work.
-	slots []*slot
-	racks map[string][]*slot
-	plan  Plan
-	gone  map[domain.TaskID]bool // Attempts that this plan stops.
+	view     *View
+	whole    int            // Usable workers on which nothing runs.
+	idle     bool           // Less than idleShare of the capacity is in use.
+	held     []hold         // For members of large gangs.
+	released bool           // The held places were given up.
+	started  map[*Unit]bool // Units of which something starts.
+	spare    int            // How many of them are kept for urgent work.
+	slots    []*slot
+	racks    map[string][]*slot
+	plan     Plan
+	gone     map[domain.TaskID]bool // Attempts that this plan stops.
 }
 
 // Decide returns what to start and stop.
 func Decide(v *View) Plan {
-	d := &decision{view: v, racks: map[string][]*slot{}, gone: map[domain.TaskID]bool{}}
+	d := &decision{view: v, racks: map[string][]*slot{}, gone: map[domain.TaskID]bool{}, started: map[*Unit]bool{}}
 	for _, w := range v.Workers {
 		if !w.Usable {
 			continue
@@ -56,18 +59,30 @@
 		d.racks[w.Rack] = append(d.racks[w.Rack], s)
 	}
 	d.spare = int(spareShare * float64(len(d.slots)))
+	d.idle = idle(d.slots)
 	units := slices.Clone(v.Units)
 	slices.SortStableFunc(units, Order)
 	for _, u := range units {
-		if u.step().Gang {
-			d.placeGang(u)
-		} else {
-			d.placeTasks(u)
-		}
+		d.place(u)
 	}
+	d.releaseHolds(units)
 	return d.plan
 }
 
+func (d *decision) place(u *Unit) {
+	if u.step().Gang {
+		d.placeGang(u)
+	} else {
+		d.placeTasks(u)
+	}
+}
+
+// start adds assignments to the plan.
+func (d *decision) start(u *Unit, s domain.StartAttempts) {
+	d.started[u] = true
+	d.plan.Starts = append(d.plan.Starts, s)
+}
+
 // Order puts urgent work first, then what can still earn, by the time at which its objective passes.
 func Order(a, b *Unit) int {
 	rank := func(u *Unit) int {
@@ -89,12 +104,33 @@
 	)
 }
 
+// While less than idleShare of the capacity is in use, no work that fits waits for longer than idleWaitMS, whatever room is
+// kept, held or preferred: within 3 s it must run (RULES, "LOST").
+const (
+	idleShare  = 0.5
+	idleWaitMS = 2000 // Of the 3 s, so that the commit and the call to the worker still fit.
+)
+
+// idle tells whether less than idleShare of the accelerators and of the processors is in use.
+func idle(slots []*slot) bool {
+	var total, free domain.Resources
+	for _, s := range slots {
+		total, free = total.Plus(s.Total), free.Plus(s.Free)
+	}
+	most := func(free, total int64) bool { return float64(free) > (1-idleShare)*float64(total) || total == 0 }
+	return most(free.CPU, total.CPU) && most(free.Accelerators, total.Accelerators)
+}
+
 // patience returns how long a unit waits for the rack that it prefers.
-func patience(u *Unit) int64 {
+func (d *decision) patience(u *Unit) int64 {
+	wait := int64((farFactor - 1) * u.RunMS)
 	if u.Guaranteed {
-		return urgentRackWaitMS
+		wait = urgentRackWaitMS
+	}
+	if d.idle {
+		wait = min(wait, idleWaitMS)
 	}
-	return (farFactor - 1) * u.RunMS
+	return wait
 }
 
 // empty tells whether nothing runs on a worker.
@@ -105,15 +141,18 @@
 	return d.view.NowMS+2*u.RunMS > u.DueMS
 }
 
-// kept tells whether a worker is kept from a unit for urgent work that may come.
-func (d *decision) kept(u *Unit, s *slot) bool {
-	return u.Job.Spec.Priority > 0 && s.empty() && d.whole <= d.spare && !d.pressed(u)
+// kept tells whether a worker is kept from a unit for urgent work that may come, while a number of workers is whole.
+func (d *decision) kept(u *Unit, s *slot, whole int) bool {
+	if d.idle && u.WaitedMS >= idleWaitMS {
+		return false
+	}
+	return u.Job.Spec.Priority > 0 && s.empty() && whole <= d.spare && !d.pressed(u)
 }
 
 // allowed tells whether a worker may run tasks of a unit at all.
 func (d *decision) allowed(u *Unit, s *slot) bool {
 	step := u.step()
-	if d.kept(u, s) {
+	if d.kept(u, s, d.whole) {
 		return false
 	}
 	if u.Advised != nil && !u.Advised[s.Life.ID] {
@@ -176,7 +215,7 @@
 		start.Assignments = append(start.Assignments, domain.Assignment{Task: u.task(index), Worker: s.Life})
 	}
 	if len(start.Assignments) > 0 {
-		d.plan.Starts = append(d.plan.Starts, start)
+		d.start(u, start)
 	}
 }
 
@@ -185,7 +224,7 @@
 	step := u.step()
 	failedOn := u.Job.Task(u.task(index)).FailedOn
 	if step.DataRack != "" {
-		if s := d.tightest(u, d.racks[step.DataRack], demand, failedOn); s != nil || u.WaitedMS < patience(u) {
+		if s := d.tightest(u, d.racks[step.DataRack], demand, failedOn); s != nil || u.WaitedMS < d.patience(u) {
 			return s
 		}
 	}
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -220,6 +220,50 @@
 		Expect(placed(placement.Decide(&f.view))["j"]).To(HaveLen(8))
 	})
 
+	Context("while most of the capacity is idle", func() {
+		// Work that fits had to wait with room free: for whole workers kept for urgent work, or for the rack of its data.
+		It("keeps whole workers from no work that has waited for two seconds", func() {
+			f := newFixture(4)
+			for i := range 3 {
+				f.occupy(i, 4, 1)
+			}
+			u := f.unit("j", 2, tasks(1, 5))
+			Expect(placed(placement.Decide(&f.view))).To(BeEmpty(), "the last whole worker is kept at first")
+			u.WaitedMS = 2000
+			Expect(placed(placement.Decide(&f.view))["j"]).To(Equal([]string{"w03"}))
+		})
+
+		It("gives up the places held for a gang for work that has waited for two seconds", func() {
+			f := newFixture(12)
+			for i := 3; i < 12; i++ {
+				f.occupy(i, 4, 1)
+			}
+			f.unit("large", 1, gang(4, 8)).DueMS = now + 1000
+			u := f.unit("small", 2, tasks(1, 5))
+			Expect(placed(placement.Decide(&f.view))).To(BeEmpty())
+			u.WaitedMS = 2000
+			Expect(placed(placement.Decide(&f.view))).To(HaveKey("small"))
+		})
+
+		It("waits for the rack of the data for two seconds only", func() {
+			f := newFixture(12)
+			for i := range 4 {
+				f.occupy(i, 8, 0)
+			}
+			s := tasks(1, 1)
+			s.DataRack = "r0"
+			u := f.unit("j", 1, s)
+			u.RunMS = 9000
+			Expect(placed(placement.Decide(&f.view))).To(BeEmpty())
+			u.WaitedMS = 2000
+			Expect(placed(placement.Decide(&f.view))["j"]).To(HaveLen(1))
+			for i := 4; i < 8; i++ {
+				f.occupy(i, 8, 0)
+			}
+			Expect(placed(placement.Decide(&f.view))).To(BeEmpty(), "most of the capacity is in use")
+		})
+	})
+
 	It("holds room for a large gang that gets late, against small work that keeps coming", func() {
 		// Each gap was filled by small work before the gang fitted.
 		f := newFixture(8)
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -16,7 +16,7 @@
 	}
 	if u.MayReclaim {
 		d.makeRoomForGang(u)
-	} else if !u.Hopeless && d.pressed(u) {
+	} else if !u.Hopeless && d.pressed(u) && !d.released {
 		d.holdRoom(u)
 	}
 }
@@ -30,17 +30,43 @@
 	demand := u.step().Demand()
 	for _, slots := range d.holdGroups(u) {
 		chosen := d.closest(u, slots, demand)
-		if chosen == nil || float64(d.held+len(chosen)) > heldShare*float64(len(d.slots)) {
+		if chosen == nil || float64(len(d.held)+len(chosen)) > heldShare*float64(len(d.slots)) {
 			continue
 		}
-		d.held += len(chosen)
 		for _, s := range chosen {
 			d.take(u, s, demand)
+			d.held = append(d.held, hold{u, s})
 		}
 		return
 	}
 }
 
+// hold is a place that is held for a member of a gang.
+type hold struct {
+	unit *Unit
+	slot *slot
+}
+
+// releaseHolds gives the held places up for work that has waited for too long while most of the capacity is idle.
+func (d *decision) releaseHolds(units []*Unit) {
+	var late []*Unit
+	for _, u := range units {
+		if u.WaitedMS >= idleWaitMS && !d.started[u] {
+			late = append(late, u)
+		}
+	}
+	if !d.idle || len(late) == 0 || len(d.held) == 0 {
+		return
+	}
+	d.released = true
+	for _, h := range d.held {
+		d.giveBack(h.unit, h.slot, h.unit.step().Demand())
+	}
+	for _, u := range late {
+		d.place(u)
+	}
+}
+
 // holdGroups returns the groups of workers that a gang may wait for, the one with the most free accelerators first.
 func (d *decision) holdGroups(u *Unit) [][]*slot {
 	if !u.step().SameRack || !d.someRackCouldHold(u) {
@@ -91,7 +117,7 @@
 		d.take(u, slots[i], demand)
 		start.Assignments = append(start.Assignments, domain.Assignment{Task: u.task(index), Worker: slots[i].Life})
 	}
-	d.plan.Starts = append(d.plan.Starts, start)
+	d.start(u, start)
 }
 
 // gangSlots returns a worker for each member, nil if they do not fit now.
@@ -102,7 +128,7 @@
 		if slots := d.pack(u, d.racks[step.DataRack], failedOn); slots != nil {
 			return slots
 		}
-		if u.WaitedMS < patience(u) && d.couldHold(u, d.racks[step.DataRack]) {
+		if u.WaitedMS < d.patience(u) && d.couldHold(u, d.racks[step.DataRack]) {
 			return nil
 		}
 	}
@@ -110,7 +136,7 @@
 		if slots := d.packOneRack(u, failedOn); slots != nil {
 			return slots
 		}
-		if u.WaitedMS < patience(u) && d.someRackCouldHold(u) {
+		if u.WaitedMS < d.patience(u) && d.someRackCouldHold(u) {
 			return nil
 		}
 	}
@@ -159,7 +185,7 @@
 	var out []*slot
 	whole := d.whole
 	for _, s := range sorted {
-		if !d.allowed(u, s) || (s.empty() && u.Job.Spec.Priority > 0 && whole <= d.spare && !d.pressed(u)) {
+		if !d.allowed(u, s) || d.kept(u, s, whole) {
 			continue
 		}
 		if s.empty() {
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -35,7 +35,7 @@
 		return
 	}
 	groups := [][]*slot{d.reclaimable(u)}
-	if u.step().SameRack && u.WaitedMS < patience(u) && d.someRackCouldHold(u) {
+	if u.step().SameRack && u.WaitedMS < d.patience(u) && d.someRackCouldHold(u) {
 		groups = groups[:0]
 		for _, rack := range d.rackNames() {
 			groups = append(groups, d.racks[rack])
@@ -58,7 +58,7 @@
 
 // reclaimable returns the workers on which a unit may take room: those near its data as long as that pays.
 func (d *decision) reclaimable(u *Unit) []*slot {
-	if rack := u.step().DataRack; rack != "" && u.WaitedMS < patience(u) && len(d.racks[rack]) > 0 {
+	if rack := u.step().DataRack; rack != "" && u.WaitedMS < d.patience(u) && len(d.racks[rack]) > 0 {
 		return d.racks[rack]
 	}
 	return d.slots
