--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -98,6 +98,7 @@
 	a.stateCommands()
 	a.endpointCommand()
 	a.historyCommand()
+	a.domainCommands()
 	a.completionCommand()
 	return a
 }
@@ -119,8 +120,11 @@
 	}
 }
 
-// client checks the connection settings as a whole.
-func (a *app) client() (*api.Client, error) {
+// client checks the connection settings as a whole and returns a client with a token.
+func (a *app) client() (*api.Client, error) { return a.connect(true) }
+
+// connect returns a client, for calls that need no token also without one.
+func (a *app) connect(needsToken bool) (*api.Client, error) {
 	var findings []api.Finding
 	find := func(field, format string, values ...any) {
 		findings = append(findings, api.Finding{Field: field, Message: fmt.Sprintf(format, values...)})
@@ -138,7 +142,7 @@
 		find("--timeout", "must be positive")
 	}
 	token, problem := a.token()
-	if problem != "" {
+	if problem != "" && needsToken {
 		find("--token-file", "%s", problem)
 	}
 	if len(findings) > 0 {
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -1,6 +1,7 @@
 package corehost
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -56,7 +57,7 @@
 
 // Call answers a caller's request on the leader.
 func (h *Host) Call(ctx context.Context, in *rpc.CallRequest) (*rpc.CallReply, error) {
-	req := service.Request{Kind: service.Kind(in.Kind), Host: in.Host, Path: in.Path, Key: in.Key, Trace: in.Trace}
+	req := service.Request{Kind: service.Kind(in.Kind), Host: in.Host, Path: in.Path, Queue: in.Queue, Job: in.Job, Key: in.Key, Trace: in.Trace}
 	if req.Kind == service.Submit {
 		req.Document = &domain.JobSpec{}
 		if err := cbor.Unmarshal(in.Document, req.Document); err != nil {
@@ -95,7 +96,7 @@
 		h.log.Info("job_submitted", "request", req.Trace, "job", s.ID, "verdict", a.Verdict.String(), "queue", s.Queue,
 			"workspace", s.Workspace, "priority", s.Priority, "shape", s.Shape(), "config_version", h.version(), "term", h.leaderTerm)
 	case req.Kind != service.State || a.Verdict == service.NoQueue || a.Verdict == service.Unauthorized:
-		h.log.Info("call_answered", "request", req.Trace, "path", req.Path, "kind", req.Kind.String(),
+		h.log.Info("call_answered", "request", req.Trace, "path", cmp.Or(req.Path, req.Queue+"/"+req.Job), "kind", req.Kind.String(),
 			"verdict", a.Verdict.String(), "config_version", h.version(), "term", h.leaderTerm)
 	}
 }
--- /dev/null
+++ b/internal/dispatch/explain.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// Reasons why a task of a step is not on a worker, as counted by Blockers.
+const (
+	ReasonOtherPool   = "other_pool"
+	ReasonLabel       = "label_missing"
+	ReasonAdvice      = "not_advised"
+	ReasonDraining    = "draining"
+	ReasonZoneOut     = "zone_out"
+	ReasonUpkeep      = "upkeep"
+	ReasonSilent      = "silent"  // It does not answer or report.
+	ReasonAvoided     = "avoided" // Attempts failed there lately.
+	ReasonTooSmall    = "too_small"
+	ReasonNoRoom      = "no_room"
+	ReasonSpread      = "spread_limit"
+	ReasonCouldRun    = "has_room"           // Kept for urgent work or a gang, or too few for a gang.
+	ReasonDoubtedZone = "zone_seems_cut_off" // Most workers of its zone do not answer.
+)
+
+// Blockers counts the workers by what keeps a task of a step from them.
+func (l *Leader) Blockers(now Time, j *domain.Job, occurrence, step int) map[string]int {
+	out := map[string]int{}
+	key := stepKey{j.Spec.ID, occurrence, step}
+	advised := l.advised(now, j, key)
+	doubtful := l.doubtfulZones(now)
+	for _, w := range l.m.Workers() {
+		out[l.blocker(now, j, key, w, advised, doubtful)]++
+	}
+	return out
+}
+
+func (l *Leader) blocker(now Time, j *domain.Job, key stepKey, w *domain.Worker, advised, doubtful map[string]bool) string {
+	step := &j.Spec.Steps[key.step]
+	s := l.sessions[w.Life.ID]
+	switch {
+	case w.Pool != j.Spec.Pool:
+		return ReasonOtherPool
+	case step.Label != "" && !slices.Contains(w.Labels, step.Label):
+		return ReasonLabel
+	case !step.Demand().Fits(w.Capacity):
+		return ReasonTooSmall
+	case w.Draining:
+		return ReasonDraining
+	case l.m.ZoneOut(w.Zone):
+		return ReasonZoneOut
+	case l.inUpkeep(w):
+		return ReasonUpkeep
+	case s != nil && now.Mono < s.avoidUntil:
+		return ReasonAvoided
+	case !l.usable(now, w):
+		return ReasonSilent
+	case doubtful[w.Zone]:
+		return ReasonDoubtedZone
+	case advised != nil && !advised[w.Life.ID]:
+		return ReasonAdvice
+	case !step.Demand().Fits(w.Free()):
+		return ReasonNoRoom
+	case step.PerWorkerLimit > 0 && l.countStep(w, key) >= step.PerWorkerLimit:
+		return ReasonSpread
+	}
+	return ReasonCouldRun
+}
+
+// WaitedMS returns for how long the tasks of a step have waited for workers, 0 if they do not.
+func (l *Leader) WaitedMS(now Time, j *domain.Job, occurrence, step int) int64 {
+	since, waiting := l.ready[stepKey{j.Spec.ID, occurrence, step}]
+	if !waiting {
+		return 0
+	}
+	return now.WallMS - since
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -193,9 +193,13 @@
 	if x == nil {
 		return 0
 	}
+	return l.countStep(x, stepKey{u.Job.Spec.ID, u.Occurrence, u.Step})
+}
+
+func (l *Leader) countStep(w *domain.Worker, key stepKey) int {
 	n := 0
-	for id := range x.Attempts() {
-		if keyOf(id) == (stepKey{u.Job.Spec.ID, u.Occurrence, u.Step}) {
+	for id := range w.Attempts() {
+		if keyOf(id) == key {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/domainapi/domainapi.go
@@ -0,0 +1,149 @@
+// Package domainapi serves the product's own HTTP interface of a scheduling domain: jobs of steps by queue, and the state of
+// the domain for operators. Decoding is strict, like that of internal/httpapi.
+package domainapi
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mustardwalk/mustardwalk/api"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/httpapi"
+	"github.com/mustardwalk/mustardwalk/internal/service"
+)
+
+// Limits of calls.
+const (
+	maxBodyBytes = 1 << 20 // As for calls of the platform's clients.
+	maxPayload   = 4000    // Bytes that workers take with a task.
+	callLimit    = 10 * time.Second
+)
+
+// Answerer answers requests of callers.
+type Answerer interface {
+	Answer(ctx context.Context, req service.Request) service.Answer
+}
+
+// Domain tells what a host that keeps the state knows.
+type Domain interface {
+	Status() api.DomainStatus
+	Workers() api.DomainWorkers
+	Explain(job string) (api.JobExplanation, bool)
+}
+
+// AddQueues serves jobs of queues.
+func AddQueues(mux *http.ServeMux, a Answerer) {
+	q := queues{a}
+	mux.HandleFunc("POST /v1/queues/{queue}/jobs/{job}", q.submit)
+	mux.HandleFunc("GET /v1/queues/{queue}/jobs/{job}", q.state)
+	mux.HandleFunc("POST /v1/queues/{queue}/jobs/{job}/cancel", q.cancel)
+	mux.HandleFunc("GET /v1/queues/{queue}", q.length)
+}
+
+// AddDomain serves the state of the domain. It needs no token, like metrics and the dump.
+func AddDomain(mux *http.ServeMux, d Domain) {
+	mux.HandleFunc("GET /v1/domain", func(w http.ResponseWriter, _ *http.Request) {
+		httpapi.WriteReply(w, http.StatusOK, d.Status())
+	})
+	mux.HandleFunc("GET /v1/domain/workers", func(w http.ResponseWriter, _ *http.Request) {
+		httpapi.WriteReply(w, http.StatusOK, d.Workers())
+	})
+	mux.HandleFunc("GET /v1/domain/jobs/{job}/explain", func(w http.ResponseWriter, r *http.Request) {
+		e, found := d.Explain(r.PathValue("job"))
+		if !found {
+			httpapi.WriteError(w, &api.Error{Code: api.CodeNotFound, Message: "this host knows no such job"})
+			return
+		}
+		httpapi.WriteReply(w, http.StatusOK, e)
+	})
+}
+
+type queues struct{ answers Answerer }
+
+func (q queues) submit(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		httpapi.WriteError(w, &api.Error{Code: api.CodeTooLarge, Message: "the body is too large", NotRun: api.NotRunTrue})
+		return
+	case err != nil:
+		httpapi.WriteError(w, &api.Error{Code: api.CodeInvalid, Message: "the body was not received completely", NotRun: api.NotRunTrue})
+		return
+	}
+	spec, findings := decodeDocument(body)
+	if len(findings) > 0 {
+		httpapi.WriteError(w, &api.Error{Code: api.CodeInvalid, Message: "the job is not valid", Findings: findings, NotRun: api.NotRunTrue})
+		return
+	}
+	q.answer(w, r, service.Request{Kind: service.Submit, Document: spec})
+}
+
+func (q queues) state(w http.ResponseWriter, r *http.Request) {
+	q.answer(w, r, service.Request{Kind: service.State})
+}
+
+func (q queues) cancel(w http.ResponseWriter, r *http.Request) {
+	q.answer(w, r, service.Request{Kind: service.Cancel})
+}
+
+func (q queues) length(w http.ResponseWriter, r *http.Request) {
+	q.answer(w, r, service.Request{Kind: service.State})
+}
+
+// answer passes a request on and translates the answer.
+func (q queues) answer(w http.ResponseWriter, r *http.Request, req service.Request) {
+	req.Queue, req.Job = r.PathValue("queue"), r.PathValue("job")
+	req.Key, _ = strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	req.Trace = uuid.NewString()
+	ctx, cancel := context.WithTimeout(r.Context(), callLimit)
+	defer cancel()
+	a := q.answers.Answer(ctx, req)
+	job := api.QueueJob{ID: req.Job, Queue: req.Queue}
+	switch a.Verdict {
+	case service.Accepted:
+		job.State = "accepted"
+	case service.Found:
+		job.State = a.State.String()
+	case service.Cancelled:
+		job.State = domain.JobCancelled.String()
+	case service.Counted:
+		httpapi.WriteReply(w, http.StatusOK, api.QueueStatus{Queue: req.Queue, Waiting: a.Waiting})
+		return
+	default:
+		httpapi.WriteError(w, refusal(a, req))
+		return
+	}
+	httpapi.WriteReply(w, http.StatusOK, job)
+}
+
+// refusal translates an answer other than success. Only answers that promise it say that a submission has not run.
+func refusal(a service.Answer, req service.Request) *api.Error {
+	e := &api.Error{NotRun: api.NotRunTrue, RetryAfterSeconds: a.RetryAfter.Seconds()}
+	switch a.Verdict {
+	case service.NoQueue:
+		e.Code, e.Message = api.CodeNotFound, "no such queue"
+	case service.NoJob:
+		e.Code, e.Message = api.CodeNotFound, "no such job"
+	case service.Unauthorized:
+		e.Code, e.Message = api.CodeUnauthorized, "the token is not a key of a workspace"
+	case service.Invalid:
+		e.Code, e.Message = api.CodeInvalid, "the job makes no sense here"
+	case service.Overloaded:
+		e.Code, e.Message = api.CodeOverloaded, "too much work is waiting"
+	case service.Unavailable:
+		e.Code, e.Message = api.CodeUnavailable, "no leader or no configuration"
+	default:
+		e.Code, e.Message, e.NotRun = api.CodeUnavailable, "no answer in time", api.NotRunUnknown
+	}
+	if req.Kind != service.Submit {
+		e.NotRun = ""
+	}
+	return e
+}
--- a/internal/entryhost/entry.go
+++ b/internal/entryhost/entry.go
@@ -205,7 +205,7 @@
 // be repeated, since a job is accepted once however often it is sent.
 func (h *Host) Answer(ctx context.Context, req service.Request) service.Answer {
 	began := time.Now()
-	in := &rpc.CallRequest{Kind: uint32(req.Kind), Host: req.Host, Path: req.Path, Key: req.Key, Trace: req.Trace}
+	in := &rpc.CallRequest{Kind: uint32(req.Kind), Host: req.Host, Path: req.Path, Queue: req.Queue, Job: req.Job, Key: req.Key, Trace: req.Trace}
 	if req.Document != nil {
 		data, err := cbor.Marshal(req.Document)
 		if err != nil {
--- a/internal/httpapi/route.go
+++ b/internal/httpapi/route.go
@@ -167,3 +167,11 @@
 	}
 	return http.StatusUnprocessableEntity
 }
+
+// WriteReply writes a JSON reply in the form of this package, for other interfaces of the product.
+func WriteReply(w http.ResponseWriter, status int, body any) {
+	write(w, result{status: status, body: body})
+}
+
+// WriteError writes an error reply with the status of its code.
+func WriteError(w http.ResponseWriter, e *api.Error) { write(w, failure(e)) }
--- a/internal/service/decide.go
+++ b/internal/service/decide.go
@@ -12,7 +12,7 @@
 	if m.Config() == nil {
 		return Answer{Verdict: Unavailable}, nil
 	}
-	q, ok := m.QueueFor(req.Host, req.Path)
+	q, id, ok := find(m, req)
 	if !ok {
 		return Answer{Verdict: NoQueue}, nil
 	}
@@ -20,7 +20,6 @@
 	if !known && !q.Public {
 		return Answer{Verdict: Unauthorized}, nil
 	}
-	id := domain.JobID(strings.TrimPrefix(req.Path, q.PathPrefix))
 	if id == "" {
 		if req.Kind != State {
 			return Answer{Verdict: Invalid}, nil
@@ -47,6 +46,16 @@
 	return Answer{Verdict: Found, State: j.State}, nil
 }
 
+// find returns the queue and the job that a request names.
+func find(m *domain.Machine, req Request) (domain.Queue, domain.JobID, bool) {
+	if req.Queue != "" {
+		q, ok := m.QueueNamed(req.Queue)
+		return q, domain.JobID(req.Job), ok
+	}
+	q, ok := m.QueueFor(req.Host, req.Path)
+	return q, domain.JobID(strings.TrimPrefix(req.Path, q.PathPrefix)), ok
+}
+
 // submit accepts a job, again if it was sent before.
 func submit(m *domain.Machine, q domain.Queue, workspace string, id domain.JobID, req Request) (Answer, *domain.Command) {
 	if m.Job(id) != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -23,11 +23,14 @@
 // String returns the name for logs.
 func (k Kind) String() string { return kindNames[k] }
 
-// Request is a request of a caller. The path names the queue by its prefix, and the job by what follows it.
+// Request is a request of a caller. It names the queue and the job, or a path: the queue by its prefix, and the job by what
+// follows it.
 type Request struct {
 	Kind     Kind
 	Host     string
 	Path     string
+	Queue    string
+	Job      string // Empty for the queue itself.
 	Key      string
 	Document *domain.JobSpec // Submit: without identifier and values of the queue.
 	Trace    string          // Identifies the request in logs.
