--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -142,7 +142,8 @@
 	IntervalMS  int64   `cbor:"13,keyasint,omitempty"`
 }
 
-// Shape describes the steps for logs, for example "5g8a@r1-2" for a gang of 5 tasks with 8 accelerators each near a rack.
+// Shape describes the steps for logs, for example "5g8a@r1-2" for a gang of 5 tasks with 8 accelerators each near a rack,
+// "16t1a" for 16 independent tasks.
 func (s *JobSpec) Shape() string {
 	var b strings.Builder
 	for i, step := range s.Steps {
@@ -152,6 +153,8 @@
 		b.WriteString(strconv.Itoa(step.Count))
 		if step.Gang {
 			b.WriteByte('g')
+		} else {
+			b.WriteByte('t')
 		}
 		b.WriteString(strconv.FormatInt(step.Task.Accelerators, 10) + "a")
 		if step.SameRack {
