--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -121,6 +121,8 @@
 		s: s, log: log, clock: suspend.New(), callers: callers, metrics: m, store: newStore(s.DataFolder, file, log),
 		machine: domain.New(), waiting: map[uint64]waiter{}, zones: map[string]string{s.Address: s.Zone}, kick: make(chan struct{}, 1), disk: newDiskQueue(),
 	}
+	m.watch(h)
+	h.s.Dispatch.Observer = m
 	h.s.Dispatch.Log = func(event string, kv ...any) { log.Info(event, kv...) }
 	incarnation := state.Incarnation
 	if incarnation == 0 {
@@ -230,7 +232,9 @@
 		return
 	}
 	h.reconsiderVoters(now)
+	began := time.Now()
 	out := h.leader.Tick(now)
+	h.metrics.ticks.Observe(time.Since(began).Seconds())
 	for _, c := range out.Commands {
 		if _, _, ok := h.replica.Propose(now.Mono, c.Encode()); !ok {
 			h.restartLeadership()
@@ -442,6 +446,7 @@
 	case replica.EntryConfig:
 		c := h.replica.Status().Config
 		h.remember(c, h.replica.Observers())
+		h.metrics.voters.Inc()
 		h.log.Info("voters_changed", "voters", hostsOf(c), "index", e.Index)
 	}
 	h.metrics.applied.Inc()
@@ -455,6 +460,9 @@
 func (h *Host) logApplied(c *domain.Command, r domain.Result, index uint64) {
 	switch {
 	case c.Config != nil:
+		if r == domain.Applied {
+			h.metrics.configs.Inc()
+		}
 		h.log.Info("config_applied", "version", c.Config.Version, "changed", r == domain.Applied, "index", index)
 	case c.Zone != nil:
 		h.log.Info("zone_applied", "zone", c.Zone.Zone, "out", c.Zone.Out, "changed", r == domain.Applied, "index", index)
--- a/internal/corehost/metrics.go
+++ b/internal/corehost/metrics.go
@@ -1,37 +1,76 @@
 package corehost
 
 import (
+	"strconv"
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
 	"github.com/mustardwalk/mustardwalk/internal/service"
 )
 
-// Metrics of a host that keeps the state.
+// Metrics of a host that keeps the state. Those of decisions move on the leader only.
 type Metrics struct {
 	Registry    *prometheus.Registry
 	applied     prometheus.Counter
 	leaderships prometheus.Counter
+	voters      prometheus.Counter
+	configs     prometheus.Counter
 	syncs       prometheus.Histogram
+	commits     prometheus.Histogram
+	ticks       prometheus.Histogram
 	calls       *prometheus.CounterVec
+	operations  *prometheus.CounterVec
 	orders      *prometheus.CounterVec
+	waits       *prometheus.HistogramVec
+	attempts    *prometheus.HistogramVec
+	reclaims    *prometheus.CounterVec
+	rejections  *prometheus.CounterVec
+	jobs        *prometheus.HistogramVec
 }
 
+// Buckets of the histograms, in seconds.
+var (
+	shortTimes = prometheus.ExponentialBuckets(0.001, 2, 12) // Disk, commits, ticks: 1 ms to 2 s.
+	longTimes  = prometheus.ExponentialBuckets(0.02, 2, 14)  // Waits and runs: 20 ms to 3 min.
+)
+
 // NewMetrics registers the metrics.
 func NewMetrics() *Metrics {
 	r := prometheus.NewRegistry()
 	f := promauto.With(r)
+	counter := func(name, help string) prometheus.Counter {
+		return f.NewCounter(prometheus.CounterOpts{Name: "mustardwalk_" + name, Help: help})
+	}
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return f.NewCounterVec(prometheus.CounterOpts{Name: "mustardwalk_" + name, Help: help}, labels)
+	}
+	histogram := func(name, help string) prometheus.Histogram {
+		return f.NewHistogram(prometheus.HistogramOpts{Name: "mustardwalk_" + name, Help: help, Buckets: shortTimes})
+	}
+	histograms := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return f.NewHistogramVec(prometheus.HistogramOpts{Name: "mustardwalk_" + name, Help: help, Buckets: longTimes}, labels)
+	}
 	return &Metrics{
 		Registry:    r,
-		applied:     f.NewCounter(prometheus.CounterOpts{Name: "mustardwalk_entries_applied_total", Help: "Entries of the log applied."}),
-		leaderships: f.NewCounter(prometheus.CounterOpts{Name: "mustardwalk_leaderships_total", Help: "Leaderships begun on this host."}),
-		syncs: f.NewHistogram(prometheus.HistogramOpts{Name: "mustardwalk_disk_sync_seconds", Help: "Time of a write with its sync.",
-			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
-		calls: f.NewCounterVec(prometheus.CounterOpts{Name: "mustardwalk_calls_total", Help: "Calls of callers answered on the leader."},
-			[]string{"kind", "verdict"}),
-		orders: f.NewCounterVec(prometheus.CounterOpts{Name: "mustardwalk_worker_calls_total", Help: "Calls to workers."},
-			[]string{"kind", "status"}),
+		applied:     counter("entries_applied_total", "Entries of the log applied."),
+		leaderships: counter("leaderships_total", "Leaderships begun on this host."),
+		voters:      counter("voter_changes_total", "Changes of the voters applied."),
+		configs:     counter("configs_applied_total", "Configurations that came into force."),
+		syncs:       histogram("disk_sync_seconds", "Time of a write with its sync."),
+		commits:     histogram("commit_seconds", "Time from a proposal of a caller, operator or worker to its result."),
+		ticks:       histogram("tick_seconds", "Time of the leader's decisions in one step."),
+		calls:       counters("calls_total", "Calls of callers answered on the leader.", "kind", "verdict"),
+		operations:  counters("operations_total", "Calls of operators and workers answered on the leader.", "kind", "outcome"),
+		orders:      counters("worker_calls_total", "Calls to workers.", "kind", "status"),
+		waits:       histograms("task_wait_seconds", "Time from when a task could start to the commit of its attempt.", "priority"),
+		attempts:    histograms("attempt_seconds", "Time from the commit of an attempt to its end.", "outcome"),
+		reclaims:    counters("attempts_reclaimed_total", "Attempts ended for urgent work.", "priority"),
+		rejections:  counters("starts_rejected_total", "Starts that workers rejected.", "reason"),
+		jobs:        histograms("job_seconds", "Time from the acceptance of a job to its end.", "state"),
 	}
 }
 
@@ -39,6 +78,60 @@
 	m.calls.WithLabelValues(k.String(), v.String()).Inc()
 }
 
+func (m *Metrics) operation(k service.OperationKind, o service.Outcome) {
+	m.operations.WithLabelValues(k.String(), o.String()).Inc()
+}
+
 func (m *Metrics) workerCall(k dispatch.CallKind, s dispatch.Status) {
 	m.orders.WithLabelValues(k.String(), s.String()).Inc()
 }
+
+// maxPriorityLabel bounds the values of the label: lower priorities share the last one.
+const maxPriorityLabel = 4
+
+func priorityLabel(p int) string { return strconv.Itoa(max(0, min(p, maxPriorityLabel))) }
+
+// AttemptBegun implements dispatch.Observer.
+func (m *Metrics) AttemptBegun(priority int, waited time.Duration) {
+	m.waits.WithLabelValues(priorityLabel(priority)).Observe(waited.Seconds())
+}
+
+// AttemptEnded implements dispatch.Observer.
+func (m *Metrics) AttemptEnded(o domain.Outcome, ran time.Duration) {
+	m.attempts.WithLabelValues(o.String()).Observe(ran.Seconds())
+}
+
+// AttemptReclaimed implements dispatch.Observer.
+func (m *Metrics) AttemptReclaimed(priority int) {
+	m.reclaims.WithLabelValues(priorityLabel(priority)).Inc()
+}
+
+// StartRejected implements dispatch.Observer.
+func (m *Metrics) StartRejected(s dispatch.Status) { m.rejections.WithLabelValues(s.String()).Inc() }
+
+// JobEnded implements dispatch.Observer.
+func (m *Metrics) JobEnded(s domain.JobState, age time.Duration) {
+	m.jobs.WithLabelValues(s.String()).Observe(age.Seconds())
+}
+
+// watch registers gauges of the state of a host.
+func (m *Metrics) watch(h *Host) {
+	gauge := func(name, help string, read func() int) {
+		promauto.With(m.Registry).NewGaugeFunc(prometheus.GaugeOpts{Name: "mustardwalk_" + name, Help: help}, func() float64 {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return float64(read())
+		})
+	}
+	gauge("open_jobs", "Accepted jobs that have not ended.", func() int { return len(h.machine.Open()) })
+	gauge("workers", "Registered workers.", func() int { return len(h.machine.Workers()) })
+	gauge("known_hosts", "Hosts that keep the state, as far as known here.", func() int { return len(h.known) })
+	gauge("config_version", "Version of the configuration in force.", func() int { return int(h.version()) })
+	gauge("zones_out", "Availability zones out of service.", func() int { return len(h.machine.ZonesOut()) })
+	gauge("leads", "1 while this host leads.", func() int {
+		if h.leads(h.now()) {
+			return 1
+		}
+		return 0
+	})
+}
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -33,6 +33,8 @@
 	}
 	h.mu.Unlock()
 	defer h.mu.Lock()
+	began := time.Now()
+	defer func() { h.metrics.commits.Observe(time.Since(began).Seconds()) }()
 	select {
 	case p, open := <-w.result:
 		return p.result, open && p.committed
@@ -155,6 +157,13 @@
 		}
 		return service.Result{Outcome: service.Elsewhere, Leader: leader}
 	}
+	r := h.carryOut(ctx, now, op)
+	h.metrics.operation(op.Kind, r.Outcome)
+	return r
+}
+
+// carryOut carries an operation out on the leader.
+func (h *Host) carryOut(ctx context.Context, now dispatch.Time, op service.Operation) service.Result {
 	switch op.Kind {
 	case service.GetConfig:
 		c := h.machine.Config()
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -55,8 +56,9 @@
 	lastCall uint64
 	ready    map[stepKey]int64 // When a step was first seen ready, Unix milliseconds.
 	chains   map[domain.JobID]int64
-	planning bool // A command with starts is under way.
-	filling  bool // An open job has work that fills.
+	ended    map[domain.JobID]bool // Jobs whose end was noted.
+	planning bool                  // A command with starts is under way.
+	filling  bool                  // An open job has work that fills.
 	dirty    bool
 	planAt   time.Duration
 	planned  time.Duration
@@ -80,6 +82,9 @@
 
 // New begins a leadership over the applied state.
 func New(m *domain.Machine, o Options, now Time) *Leader {
+	if o.Observer == nil {
+		o.Observer = unobserved{}
+	}
 	l := &Leader{
 		o:        o,
 		m:        m,
@@ -89,6 +94,7 @@
 		calls:    map[uint64]pending{},
 		ready:    map[stepKey]int64{},
 		chains:   map[domain.JobID]int64{},
+		ended:    map[domain.JobID]bool{},
 		dirty:    true,
 		adviser:  newAdviser(),
 		upkeeps:  map[string]*upkeepState{},
@@ -117,6 +123,8 @@
 	delete(l.active, id)
 }
 
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // settle takes an order off the list of those that need attention.
 func (l *Leader) settle(x *order) {
 	if x.started && !x.stop {
@@ -160,12 +168,18 @@
 		for _, e := range c.End.Ends {
 			l.conclude(now, e)
 		}
+		l.noteEnded(c)
 	case c.Cancel != nil:
 		l.stopJob(c.Cancel.Job, "cancelled")
+		if r == domain.Applied {
+			l.jobEnded(l.m.Job(c.Cancel.Job))
+		}
 	case c.Register != nil, c.Forget != nil:
 		l.sweep()
 	case c.Upkeep != nil:
 		l.upkeepApplied(c.Upkeep)
+	case c.Purge != nil:
+		maps.DeleteFunc(l.ended, func(id domain.JobID, _ bool) bool { return l.m.Job(id) == nil })
 	}
 }
 
@@ -177,6 +191,7 @@
 		return
 	}
 	l.adopt(a.Task, t.Attempt, a.Worker, now)
+	l.o.Observer.AttemptBegun(j.Spec.Priority, milliseconds(l.WaitedMS(now, j, a.Task.Occurrence, a.Task.Step)))
 	l.o.Log("attempt_begun", "job", a.Task.Job, "task", a.Task.String(), "attempt", t.Attempt, "worker", a.Worker.ID,
 		"waited_ms", now.WallMS-j.AcceptedMS, "failed_before", t.Failed)
 }
@@ -200,13 +215,31 @@
 		if j.State != domain.JobCompleted { // The members of a gang that is done end by themselves.
 			l.stopJob(id.Job, j.State.String())
 		}
-		l.o.Log("job_ended", "job", id.Job, "state", j.State.String(), "age_ms", now.WallMS-j.AcceptedMS)
-		l.forgetJob(j)
 	} else if t := j.Task(id); !t.Occupied() && !t.Done {
 		l.ready[keyOf(id)] = now.WallMS
 	}
 }
 
+// noteEnded notes the jobs that a command with ends has ended. Ends of attempts that a job leaves behind come later.
+func (l *Leader) noteEnded(c *domain.Command) {
+	for _, e := range c.End.Ends {
+		if j := l.m.Job(e.Task.Job); j != nil && j.State.Final() {
+			l.jobEnded(j)
+		}
+	}
+}
+
+func (l *Leader) jobEnded(j *domain.Job) {
+	if l.ended[j.Spec.ID] {
+		return
+	}
+	l.ended[j.Spec.ID] = true
+	age := j.EndedMS - j.AcceptedMS
+	l.o.Observer.JobEnded(j.State, milliseconds(age))
+	l.o.Log("job_ended", "job", j.Spec.ID, "state", j.State.String(), "age_ms", age)
+	l.forgetJob(j)
+}
+
 func (l *Leader) forgetJob(j *domain.Job) {
 	delete(l.chains, j.Spec.ID)
 	l.adviser.forget(j)
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -60,6 +60,25 @@
 		Expect(w.machine.Job("j").Occurrences[0].Steps[0][0].Failed).To(Equal(2))
 	})
 
+	It("notes the end of a job once, also of a cancelled one", func() {
+		// Each end of an attempt that the job had left behind was noted as another end of the job, a cancel not at all.
+		w := newWorld(1, 8)
+		noted := map[string]int{}
+		w.log = func(event string, kv ...any) {
+			if event == "job_ended" {
+				noted[fmt.Sprint(kv[1], " ", kv[3])]++
+			}
+		}
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "gang", Payload: "work=500 gang=6", Steps: []domain.Step{gang(6, 8)}})
+		w.submit(domain.JobSpec{ID: "lasting", Payload: "work=60000", Steps: []domain.Step{step(2, 1)}})
+		w.run(4 * time.Second)
+		w.commit(&domain.Command{Cancel: &domain.CancelJob{Job: "lasting"}})
+		w.commit(&domain.Command{Cancel: &domain.CancelJob{Job: "lasting"}})
+		w.run(8 * time.Second)
+		Expect(noted).To(Equal(map[string]int{"gang completed": 1, "lasting cancelled": 1}))
+	})
+
 	It("stops the tasks of a cancelled job and starts none later", func() {
 		w := newWorld(1, 2)
 		w.run(time.Second)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -205,6 +205,7 @@
 	case RejectedLate:
 		x.next = now.Mono
 	default:
+		l.o.Observer.StartRejected(r.Status)
 		l.o.Log("start_rejected", "job", x.task.Job, "task", x.task.String(), "attempt", x.attempt, "worker", s.life.ID,
 			"reason", r.Status.String())
 		switch r.Status {
@@ -303,6 +304,7 @@
 
 // judge learns about the worker from an end.
 func (l *Leader) judge(now Time, s *session, x *order, e EndedTask) {
+	l.o.Observer.AttemptEnded(e.Outcome, now.Mono-x.begun)
 	l.o.Log("attempt_ended", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", s.life.ID,
 		"outcome", e.Outcome.String(), "ran_ms", (now.Mono - x.begun).Milliseconds(), "reason", x.why)
 	switch e.Outcome {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -39,6 +39,7 @@
 	p := placement.Decide(v)
 	for _, s := range p.Stops {
 		if x := l.orders[s.Task]; x != nil && !x.stop {
+			l.o.Observer.AttemptReclaimed(l.m.Job(s.Task.Job).Spec.Priority)
 			l.o.Log("attempt_reclaimed", "job", s.Task.Job, "task", s.Task.String(), "attempt", x.attempt, "worker", x.life.ID,
 				"for_job", s.For.Job)
 			l.abandon(x, "reclaimed for "+string(s.For.Job))
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -30,6 +30,7 @@
 	Upkeep    time.Duration // How long a machine is down for its upkeep.
 	// MachineLease is how long after one host's orders for a machine another host must wait with its own.
 	MachineLease time.Duration
+	Observer     Observer // Nil for none.
 	Log          func(event string, keysAndValues ...any)
 }
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -37,7 +37,8 @@
 	lateBy  float64             // Share of orders that are carried out seconds later, without an answer.
 	heldUp  map[string][]func() // Calls that a cut holds up, by worker.
 	commits time.Duration       // Until a proposal is applied.
-	lost    func()              // Called when attempts are proposed to be lost.
+	log     func(event string, kv ...any)
+	lost    func() // Called when attempts are proposed to be lost.
 	queue   events
 	order   int
 	starts  int
@@ -58,6 +59,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), machine: domain.New(), gangs: simworker.NewGangs(), cut: map[string]bool{},
 		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commits: usualCommit, heldUp: map[string][]func(){}, lost: func() {},
+		log: func(string, ...any) {},
 	}
 	w.gangs.Events = w.observe
 	config := &domain.Config{Version: 1, Document: []byte("{}"), Pools: []domain.Pool{{Name: "pool"}},
@@ -108,7 +110,7 @@
 	w.term++
 	w.leader = dispatch.New(w.machine, dispatch.Options{
 		Fence: w.term, Lease: simworker.MaxLease, GangWait: simworker.GangWait, Report: reportEvery,
-		Retention: time.Minute, Restore: 600 * time.Millisecond, Upkeep: 2 * time.Second, MachineLease: 3 * time.Second, Log: func(string, ...any) {},
+		Retention: time.Minute, Restore: 600 * time.Millisecond, Upkeep: 2 * time.Second, MachineLease: 3 * time.Second, Log: func(event string, kv ...any) { w.log(event, kv...) },
 	}, w.time())
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -117,6 +117,16 @@
 	Missing    // There is no such thing.
 )
 
+var outcomeNames = [...]string{"unclear", "done", "not_serving", "elsewhere", "missing"}
+
+// String returns the name for logs and metrics.
+func (o Outcome) String() string {
+	if int(o) >= len(outcomeNames) {
+		return "invalid_outcome"
+	}
+	return outcomeNames[o]
+}
+
 // Result answers an operation.
 type Result struct {
 	Outcome  Outcome
