placement: hold room for gangs that have waited for half their run time

Change: room is held once a gang has waited for half its run time, on up to 0.7 of the workers instead of 0.4, first on those that lack least over all resources instead of those with most free accelerators. Tests: two in decide_test that replay the load.

--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -281,6 +281,48 @@
 		Expect(used).To(HaveLen(5))
 	})
 
+	It("holds room for a gang that has waited for half its run time, against small work of lower priority", func() {
+		// With a backlog of small work, gangs waited for 20 to 50 s while all small work was in time.
+		f := newFixture(8)
+		for i := range 8 {
+			f.occupy(i, 1, 1)
+		}
+		u := f.unit("gang", 1, gang(3, 8))
+		u.DueMS = now + 60_000
+		f.unit("small", 2, tasks(80, 1)).DueMS = now + 1000
+		spread := func() int {
+			used := map[string]bool{}
+			for _, w := range placed(placement.Decide(&f.view))["small"] {
+				used[w] = true
+			}
+			return len(used)
+		}
+		Expect(spread()).To(Equal(8))
+		u.WaitedMS = 1001
+		Expect(spread()).To(Equal(5))
+	})
+
+	It("holds the workers that lack least of all that a gang needs, not only accelerators", func() {
+		f := newFixture(6)
+		for i := range 6 {
+			f.occupy(i, 2, 1)
+		}
+		for i := range 3 {
+			f.view.Workers[i].Free.Accelerators = 8 // But no memory is left.
+			f.view.Workers[i].Free.MemoryMB = 100
+		}
+		s := gang(3, 7)
+		s.Task.MemoryMB = 40000
+		f.unit("gang", 1, s).WaitedMS = 1001
+		f.unit("small", 2, domain.Step{Count: 60, Task: domain.Resources{CPU: 100, MemoryMB: 10, Accelerators: 1}})
+		used := map[string]bool{}
+		for _, w := range placed(placement.Decide(&f.view))["small"] {
+			used[w] = true
+		}
+		Expect(used).To(HaveKey("w00"))
+		Expect(used).NotTo(HaveKey("w03"))
+	})
+
 	It("puts what has nothing left to earn behind the rest", func() {
 		f := newFixture(1)
 		u := f.unit("hopeless", 1, tasks(1, 8))
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -16,13 +16,25 @@
 	}
 	if u.MayReclaim {
 		d.makeRoomForGang(u)
-	} else if !u.Hopeless && d.pressed(u) && !d.released {
+	} else if d.holds(u) {
 		d.holdRoom(u)
 	}
 }
 
-// heldShare bounds the workers that are held for large gangs, as a share of all.
-const heldShare = 0.4
+// Limits of the room that is held for gangs.
+const (
+	// heldShare bounds the workers that are held, as a share of all: the rest of the work goes on.
+	heldShare = 0.7
+	// holdAfterShare is the share of its expected run time that a gang waits before room is held for it. Until then, what ends by
+	// itself may make room; afterwards each gap that small work of lower priority fills delays the gang by another task.
+	holdAfterShare = 0.5
+)
+
+// holds tells whether room is held for a gang that does not fit.
+func (d *decision) holds(u *Unit) bool {
+	waited := float64(u.WaitedMS) > holdAfterShare*float64(u.RunMS)
+	return !u.Hopeless && !d.released && (waited || d.pressed(u))
+}
 
 // holdRoom keeps the workers that are closest to having room for the members of a gang from work that comes later in the
 // order. Small work would otherwise fill each gap before the gang fits.
@@ -88,11 +100,12 @@
 	return free
 }
 
-// closest returns the workers with the most free accelerators, one for each member, or nil.
+// closest returns the workers that lack least for a member, one place for each member, or nil.
 func (d *decision) closest(u *Unit, slots []*slot, demand domain.Resources) []*slot {
 	sorted := slices.Clone(slots)
 	slices.SortStableFunc(sorted, func(a, b *slot) int {
-		return cmp.Or(cmp.Compare(b.future.Accelerators, a.future.Accelerators), cmp.Compare(a.Life.ID, b.Life.ID))
+		return cmp.Or(cmp.Compare(shortage(demand, a), shortage(demand, b)),
+			cmp.Compare(b.future.Accelerators, a.future.Accelerators), cmp.Compare(a.Life.ID, b.Life.ID))
 	})
 	var out []*slot
 	for _, s := range sorted {
@@ -110,6 +123,18 @@
 	return out
 }
 
+// shortage returns what a worker lacks for a demand, as a share of its capacity, over all resources.
+func shortage(demand domain.Resources, s *slot) float64 {
+	lack := func(need, free, total int64) float64 {
+		if need <= free || total == 0 {
+			return 0
+		}
+		return float64(need-free) / float64(total)
+	}
+	return lack(demand.CPU, s.future.CPU, s.Total.CPU) + lack(demand.MemoryMB, s.future.MemoryMB, s.Total.MemoryMB) +
+		lack(demand.Accelerators, s.future.Accelerators, s.Total.Accelerators)
+}
+
 func (d *decision) startGang(u *Unit, slots []*slot) {
 	demand := u.step().Demand()
 	var start domain.StartAttempts
