placement: whole workers are broken in racks that have few of them

Change: of equally full workers, one in the rack with the fewest whole workers is taken. Test: 'breaks whole workers in racks that have few of them', the first worker by identifier was taken before.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -40,13 +40,15 @@
 	spare    int            // How many of them are kept for urgent work.
 	slots    []*slot
 	racks    map[string][]*slot
-	plan     Plan
-	gone     map[domain.TaskID]bool // Attempts that this plan stops.
+	// wholeIn counts by rack the usable workers on which nothing runs.
+	wholeIn map[string]int
+	plan    Plan
+	gone    map[domain.TaskID]bool // Attempts that this plan stops.
 }
 
 // Decide returns what to start and stop.
 func Decide(v *View) Plan {
-	d := &decision{view: v, racks: map[string][]*slot{}, gone: map[domain.TaskID]bool{}, started: map[*Unit]bool{}}
+	d := &decision{view: v, racks: map[string][]*slot{}, wholeIn: map[string]int{}, gone: map[domain.TaskID]bool{}, started: map[*Unit]bool{}}
 	for _, w := range v.Workers {
 		if !w.Usable {
 			continue
@@ -54,6 +56,7 @@
 		s := &slot{Worker: w, free: w.Free, future: w.Free.Plus(w.Stopping)}
 		if s.empty() {
 			d.whole++
+			d.wholeIn[s.Rack]++
 		}
 		d.slots = append(d.slots, s)
 		d.racks[w.Rack] = append(d.racks[w.Rack], s)
@@ -176,6 +179,7 @@
 func (d *decision) take(u *Unit, s *slot, demand domain.Resources) {
 	if s.empty() {
 		d.whole--
+		d.wholeIn[s.Rack]--
 	}
 	s.free = s.free.Minus(demand)
 	s.future = s.future.Minus(demand)
@@ -198,6 +202,7 @@
 	}
 	if s.empty() {
 		d.whole++
+		d.wholeIn[s.Rack]++
 	}
 }
 
@@ -237,7 +242,7 @@
 		if !demand.Fits(s.free) || !d.allowed(u, s) || d.roomByLimit(u, s) <= 0 {
 			continue
 		}
-		if best == nil || u.prefers(s, best, failedOn) {
+		if best == nil || d.prefers(u, s, best, failedOn) {
 			best = s
 		}
 	}
@@ -245,11 +250,11 @@
 }
 
 // prefers compares two workers with room for a task.
-func (u *Unit) prefers(a, b *slot, failedOn []string) bool {
+func (d *decision) prefers(u *Unit, a, b *slot, failedOn []string) bool {
 	if u.step().Fills {
 		return calmer(a, b, failedOn)
 	}
-	return tighter(a, b, failedOn)
+	return d.tighter(a, b, failedOn)
 }
 
 // calmer prefers workers without tasks that serve, which work that fills would disturb, then those that leave most
@@ -267,11 +272,12 @@
 func (s *slot) unused() int64 { return s.free.CPU - s.FillCPU - s.filled }
 
 // tighter prefers workers on which the task has not failed, then those with the least free capacity, so that whole
-// workers stay free for large gangs.
-func tighter(a, b *slot, failedOn []string) bool {
+// workers stay free for large gangs, and of whole workers those in racks with few, so that they stay together.
+func (d *decision) tighter(a, b *slot, failedOn []string) bool {
 	return cmp.Or(
 		cmp.Compare(failures(failedOn, a), failures(failedOn, b)),
 		cmp.Compare(a.free.Accelerators, b.free.Accelerators),
+		cmp.Compare(d.wholeIn[a.Rack], d.wholeIn[b.Rack]),
 		cmp.Compare(a.free.MemoryMB, b.free.MemoryMB),
 		cmp.Compare(a.Life.ID, b.Life.ID),
 	) < 0
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -89,6 +89,16 @@
 		Expect(placed(placement.Decide(&f.view))["j"]).To(Equal([]string{"w02", "w02", "w02", "w02"}))
 	})
 
+	It("breaks whole workers in racks that have few of them, so that gangs for one rack find room", func() {
+		// Whole workers kept for urgent gangs lay scattered over the racks, and the gangs had to wait for stops.
+		f := newFixture(12)
+		for _, i := range []int{4, 5, 6} {
+			f.occupy(i, 8, 1)
+		}
+		f.unit("j", 1, tasks(1, 8))
+		Expect(placed(placement.Decide(&f.view))["j"]).To(Equal([]string{"w07"}))
+	})
+
 	It("starts a gang as a whole or not at all", func() {
 		f := newFixture(4)
 		f.occupy(0, 1, 1)
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -202,7 +202,7 @@
 	demand := u.step().Demand()
 	sorted := slices.Clone(slots)
 	slices.SortStableFunc(sorted, func(a, b *slot) int {
-		if tighter(a, b, failedOn) {
+		if d.tighter(a, b, failedOn) {
 			return -1
 		}
 		return 1
