--- /dev/null
+++ b/internal/corehost/apply.go
@@ -0,0 +1,113 @@
+package corehost
+
+import (
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/replica"
+)
+
+// pump takes what the replica has produced, until it produces nothing more.
+func (h *Host) pump(now dispatch.Time) error {
+	out := h.replica.Take()
+	if out.Snapshot != nil {
+		if len(out.Snapshot.Data) > 0 {
+			if err := h.machine.Restore(out.Snapshot.Data); err != nil {
+				return err
+			}
+		}
+		h.remember(out.Snapshot.Config, nil)
+	}
+	for _, e := range out.Committed {
+		if err := h.apply(now, e); err != nil {
+			return err
+		}
+	}
+	messages := out.Messages
+	if out.Mark != 0 {
+		messages = h.sendEarly(out)
+		h.disk.put(diskWrite{records: out.Records, messages: messages, mark: out.Mark})
+		return nil
+	}
+	h.peers.send(messages)
+	return nil
+}
+
+// sendEarly sends the entries to the followers while the own disk syncs, which only needs the term to be durable. It
+// returns the messages that must wait.
+func (h *Host) sendEarly(out replica.Output) []replica.Message {
+	for _, r := range out.Records {
+		if r.Hard != nil {
+			return out.Messages
+		}
+	}
+	var early, late []replica.Message
+	for _, m := range out.Messages {
+		if m.Kind == replica.MsgAppend {
+			early = append(early, m)
+		} else {
+			late = append(late, m)
+		}
+	}
+	h.peers.send(early)
+	return late
+}
+
+// apply carries one committed entry out.
+func (h *Host) apply(now dispatch.Time, e replica.Entry) error {
+	w, waited := h.waiting[e.Index]
+	delete(h.waiting, e.Index)
+	var result domain.Result
+	switch e.Kind {
+	case replica.EntryCommand:
+		c, err := domain.DecodeCommand(e.Data)
+		if err != nil {
+			return err
+		}
+		result = h.machine.Apply(c)
+		if h.leader != nil {
+			h.leader.Applied(now, c, result)
+		}
+		h.logApplied(c, result, e.Index)
+	case replica.EntryConfig:
+		c := h.replica.Status().Config
+		h.remember(c, h.replica.Observers())
+		h.metrics.voters.Inc()
+		h.log.Info("voters_changed", "voters", hostsOf(c), "index", e.Index)
+	}
+	h.metrics.applied.Inc()
+	if waited {
+		w.result <- proposalResult{result: result, committed: w.term == e.Term}
+	}
+	return nil
+}
+
+// logApplied writes a line for what operators and callers have changed.
+func (h *Host) logApplied(c *domain.Command, r domain.Result, index uint64) {
+	switch {
+	case c.Config != nil:
+		if r == domain.Applied {
+			h.metrics.configs.Inc()
+		}
+		h.log.Info("config_applied", "version", c.Config.Version, "changed", r == domain.Applied, "index", index)
+	case c.Zone != nil:
+		h.log.Info("zone_applied", "zone", c.Zone.Zone, "out", c.Zone.Out, "changed", r == domain.Applied, "index", index)
+	case c.Wave != nil:
+		h.log.Info("wave_applied", "wave", c.Wave.Number, "machines", len(c.Wave.Machines), "max_down", c.Wave.MaxDown,
+			"within_ms", c.Wave.WithinMS, "changed", r == domain.Applied, "index", index)
+	case c.Register != nil && h.leader != nil:
+		h.log.Info("worker_registered", "worker", c.Register.Life.ID, "born_ms", c.Register.Life.BornMS,
+			"address", c.Register.Address, "zone", c.Register.Zone, "draining", c.Register.Draining, "index", index)
+	case c.Forget != nil && h.leader != nil:
+		h.log.Info("worker_forgotten", "worker", c.Forget.Life.ID, "born_ms", c.Forget.Life.BornMS, "index", index)
+	}
+}
+
+// compact replaces a long log by a snapshot.
+func (h *Host) compact() error {
+	if !h.replica.NeedsSnapshot() {
+		return nil
+	}
+	h.replica.Compact(h.replica.Applied(), h.machine.Snapshot())
+	h.disk.replace(h.replica.State())
+	return nil
+}
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -108,14 +108,19 @@
 })
 
 var _ = Describe("work that fills", func() {
-	// Guards against tails that stay over their target because of work that fills beside them.
-	It("is paced down while a tail nears its target, and let up afterwards", func() {
-		w := newWorld(1, 1)
-		w.run(time.Second)
+	// serve starts a task that serves, with a target of 50 ms and a tail of 30 ms when nothing fills beside it.
+	serve := func(w *world) {
 		serving := step(1, 1)
 		serving.LongRunning, serving.TargetMS = true, 50
 		w.submit(domain.JobSpec{ID: "serving", Payload: "serve=30", Steps: []domain.Step{serving}})
 		w.run(2 * time.Second)
+	}
+
+	// Guards against tails that stay over their target because of work that fills beside them.
+	It("is paced down while a tail nears its target, and let up afterwards", func() {
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		serve(w)
 		filling := step(4, 0)
 		filling.Fills = true
 		w.submit(domain.JobSpec{ID: "filling", Payload: "work=4000 fill=true", Steps: []domain.Step{filling}})
@@ -145,10 +150,7 @@
 	It("goes where nothing serves", func() {
 		w := newWorld(1, 2)
 		w.run(time.Second)
-		serving := step(1, 1)
-		serving.LongRunning, serving.TargetMS = true, 50
-		w.submit(domain.JobSpec{ID: "serving", Payload: "serve=30", Steps: []domain.Step{serving}})
-		w.run(2 * time.Second)
+		serve(w)
 		filling := step(2, 0)
 		filling.Fills = true
 		w.submit(domain.JobSpec{ID: "filling", Payload: "work=4000 fill=true", Steps: []domain.Step{filling}})
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -106,7 +106,6 @@
 	Life     domain.WorkerLife
 	Capacity domain.Resources
 	Rate     float64 // Of its clock, against true time.
-	Speed    float64 // Of its work, against other workers.
 	Broken   bool    // All attempts fail at once.
 	Stuck    bool    // Attempts make no progress.
 	Ticket   string  // What starts must carry, empty for none.
@@ -124,7 +123,7 @@
 // New starts a lifetime.
 func New(life domain.WorkerLife, capacity domain.Resources, rate float64, gangs *Gangs, now time.Duration) *Worker {
 	return &Worker{
-		Life: life, Capacity: capacity, Rate: rate, Speed: 1, gangs: gangs, born: now, next: 1,
+		Life: life, Capacity: capacity, Rate: rate, gangs: gangs, born: now, next: 1,
 		running: map[domain.TaskID]*attempt{}, highest: map[domain.TaskID]int{},
 	}
 }
@@ -158,7 +157,7 @@
 	case a.program.Fail || w.Broken:
 		w.end(now, a, domain.OutcomeFailed)
 	case a.program.Hang || w.Stuck || a.program.Serve > 0:
-	case a.done(now) >= a.program.Work:
+	case a.base+now-a.began >= a.program.Work:
 		w.end(now, a, domain.OutcomeDone)
 	}
 }
@@ -269,7 +268,7 @@
 	if a.program.Hang || a.worker.Stuck || (a.program.Gang > 1 && !a.worker.gangs.groups[a.key()].complete) {
 		return a.base
 	}
-	return a.base + time.Duration(float64(now-a.began)*a.worker.Speed)
+	return a.base + now - a.began
 }
 
 // fillDisturbs is by how much an attempt that fills at full pace lengthens the tails on its worker, in milliseconds.
