dispatch: calls of a leadership that begins anew within a term have new identifiers

Cause, found by reading: after a refused proposal the leader's memory begins anew in the same term and counted its calls from 1 again, so that the answer to an earlier call could pass for the answer to another one, such as a start. Ruled out for other changes of leadership: the term in the call is compared. Change: identifiers begin at the reading of the clock. Test: 'does not take the answer to a call of an earlier leadership for one to its own', fails without the change.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -69,7 +69,10 @@
 	valid time.Duration
 }
 
-func newAdviser() adviser { return adviser{steps: map[stepKey]*stepAdvice{}} }
+// newAdviser returns one whose calls are numbered from lastID on.
+func newAdviser(lastID uint64) adviser {
+	return adviser{steps: map[stepKey]*stepAdvice{}, lastID: lastID}
+}
 
 // forget drops what is known of a job.
 func (a *adviser) forget(j *domain.Job) {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -95,7 +95,9 @@
 		chains:   map[domain.JobID]int64{},
 		ended:    map[domain.JobID]bool{},
 		dirty:    true,
-		adviser:  newAdviser(),
+		// A leadership may begin anew within one term. Answers to calls of the one before must not pass for answers to its own.
+		lastCall: uint64(now.Mono),
+		adviser:  newAdviser(uint64(now.Mono)),
 		upkeeps:  map[string]*upkeepState{},
 		began:    now.Mono, beganWallMS: now.WallMS,
 	}
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -60,6 +60,19 @@
 		Expect(w.machine.Job("j").Occurrences[0].Steps[0][0].Failed).To(Equal(2))
 	})
 
+	It("does not take the answer to a call of an earlier leadership for one to its own", func() {
+		// After a refused proposal a leadership begins anew in the same term, and counted its calls from 1 again.
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		old := w.sent()
+		w.run(2 * time.Second)
+		w.term--
+		w.elect()
+		w.calls = nil
+		Expect(old).NotTo(BeEmpty())
+		Expect(w.sent()).NotTo(ContainElement(BeElementOf(old)))
+	})
+
 	It("notes the end of a job once, also of a cancelled one", func() {
 		// Each end of an attempt that the job had left behind was noted as another end of the job, a cancel not at all.
 		w := newWorld(1, 8)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -45,6 +45,7 @@
 	running map[domain.TaskID]simworker.Event
 	done    map[domain.TaskID]bool // Ends as done that have been committed.
 	alone   int
+	calls   []uint64 // Identifiers of the calls sent.
 	faults  []string
 	allowed map[string]bool // Workers that the policy of the queue "advised" allows.
 	asked   []dispatch.AdviceCall
@@ -231,6 +232,13 @@
 	answer(dispatch.UpkeepDone)
 }
 
+// sent runs a job and returns the identifiers of the calls that were sent for it.
+func (w *world) sent() []uint64 {
+	w.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprint("sent", w.order)), Payload: "work=100", Steps: []domain.Step{step(2, 1)}})
+	w.run(w.now + 500*time.Millisecond)
+	return w.calls
+}
+
 func (w *world) worker(id string) *simworker.Worker {
 	return w.workers[slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Life.ID == id })]
 }
@@ -243,6 +251,7 @@
 
 // carry takes a call to its worker and the answer back.
 func (w *world) carry(leader *dispatch.Leader, c dispatch.Call) {
+	w.calls = append(w.calls, c.ID)
 	i := slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Life.ID == c.Worker.ID })
 	lost := func() {
 		w.at(w.now+c.Wait+callTimeout, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.NoAnswer}) })
