dispatch: a new leader asks idle workers for their clocks at once

Ruled out: room (the wait ends without a stop). Change: a hold without a wait to each idle worker whose clock is not known; it carries the new fencing token too. Test: 'places work on idle workers as soon as it leads', fails without the change.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -102,7 +102,7 @@
 		began:    now.Mono, beganWallMS: now.WallMS,
 	}
 	for _, w := range m.Workers() {
-		s := l.session(w.Life, now)
+		s := l.session(w.Life, now) // Also of idle workers: they are asked for their clocks at once.
 		for id, attempt := range w.Attempts() {
 			l.adopt(id, attempt, w.Life, now).inherited = true
 			s.look, s.inherited = true, true
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -60,6 +60,17 @@
 		Expect(w.machine.Job("j").Occurrences[0].Steps[0][0].Failed).To(Equal(2))
 	})
 
+	It("places work on idle workers as soon as it leads, not when they report next", func() {
+		// Urgent work waited for up to a report's period after each change of leadership.
+		w := newWorld(1, 8)
+		w.run(1100 * time.Millisecond)
+		w.elect()
+		w.submit(domain.JobSpec{ID: "urgent", Payload: "work=2000 gang=4", Steps: []domain.Step{gang(4, 8)}})
+		w.run(1200 * time.Millisecond)
+		Expect(w.running).To(HaveLen(4))
+		Expect(w.faults).To(BeEmpty())
+	})
+
 	It("does not take the answer to a call of an earlier leadership for one to its own", func() {
 		// After a refused proposal a leadership begins anew in the same term, and counted its calls from 1 again.
 		w := newWorld(1, 2)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -95,6 +95,8 @@
 			s.look = false
 			l.hold(now, w, s, 0)
 		case s.holds > 0 || now.Mono < s.nextHold:
+		case !busy && !s.hasClock && s.failures == 0:
+			l.hold(now, w, s, 0) // A new leader need not wait for its report.
 		case busy && !s.hasClock:
 			l.hold(now, w, s, 0)
 		case busy && l.shared(w):
