dispatch, corehost: log what tells apart why a task was taken back

The logs did not show which attempts a lost worker had, whether their starts had been confirmed, and that a worker runs attempts that the domain places elsewhere. So a task that runs twice could not be told from one that was moved in order.

No decision changes.

--- a/internal/corehost/metrics.go
+++ b/internal/corehost/metrics.go
@@ -29,6 +29,7 @@
 	attempts    *prometheus.HistogramVec
 	preemptions *prometheus.CounterVec
 	rejections  *prometheus.CounterVec
+	unknown     prometheus.Counter
 	jobs        *prometheus.HistogramVec
 }
 
@@ -70,6 +71,7 @@
 		attempts:    histograms("attempt_seconds", "Time from the commit of an attempt to its end.", "outcome"),
 		preemptions: counters("attempts_reclaimed_total", "Attempts ended for urgent work.", "priority"),
 		rejections:  counters("starts_rejected_total", "Starts that workers rejected.", "reason"),
+		unknown:     counter("attempts_unknown_total", "Attempts that workers listed as running although the domain does not place them there."),
 		jobs:        histograms("job_seconds", "Time from the acceptance of a job to its end.", "state"),
 	}
 }
@@ -110,6 +112,9 @@
 // StartRejected implements dispatch.Observer.
 func (m *Metrics) StartRejected(s dispatch.Status) { m.rejections.WithLabelValues(s.String()).Inc() }
 
+// UnknownAttempt implements dispatch.Observer.
+func (m *Metrics) UnknownAttempt() { m.unknown.Inc() }
+
 // JobEnded implements dispatch.Observer.
 func (m *Metrics) JobEnded(s domain.JobState, age time.Duration) {
 	m.jobs.WithLabelValues(s.String()).Observe(age.Seconds())
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -283,6 +283,7 @@
 func (l *Leader) sawRunning(now Time, w *domain.Worker, s *session, t RunningTask) {
 	a := l.attempts[t.Task]
 	if a == nil || a.number != t.Attempt || a.incarnation != s.incarnation {
+		l.noteUnknown(s, t)
 		l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
 		return
 	}
@@ -299,6 +300,19 @@
 	}
 }
 
+// noteUnknown logs and counts an attempt that a worker lists as running although the domain does not place it there.
+func (l *Leader) noteUnknown(s *session, t RunningTask) {
+	var current domain.Task
+	if j := l.state.Job(t.Task.Job); j != nil {
+		if task := j.Task(t.Task); task != nil {
+			current = *task
+		}
+	}
+	l.options.Observer.UnknownAttempt()
+	l.options.Log("attempt_unknown", "job", t.Task.Job, "task", t.Task.String(), "attempt", t.Attempt, "worker", s.incarnation.ID,
+		"current_attempt", current.Attempt, "current_worker", current.Worker.ID, "done", current.Done)
+}
+
 // newEnds returns the listed ends that are not committed yet, in the worker's order. It adds the ended attempts to
 // listed, so that they do not count as absent.
 func (l *Leader) newEnds(now Time, w *domain.Worker, s *session, r Reply, listed map[domain.TaskID]int) []domain.AttemptEnd {
@@ -310,6 +324,9 @@
 		if a := l.attempts[e.Task]; a != nil && a.number == e.Attempt {
 			listed[e.Task] = e.Attempt
 			l.noteOutcome(now, s, a, e)
+		} else {
+			l.options.Log("end_not_current", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", s.incarnation.ID,
+				"outcome", e.Outcome.String(), "number", e.Number)
 		}
 		ends = append(ends, e.AttemptEnd)
 	}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -180,7 +180,7 @@
 			l.jobEnded(l.state.Job(c.Cancel.Job))
 		}
 	case c.Register != nil, c.Forget != nil:
-		l.dropStale()
+		l.dropStale(now)
 	case c.Upkeep != nil:
 		l.upkeepApplied(c.Upkeep)
 	case c.Purge != nil:
@@ -279,10 +279,11 @@
 }
 
 // dropStale drops the attempts and sessions of incarnations of workers that have ended.
-func (l *Leader) dropStale() {
+func (l *Leader) dropStale(now Time) {
 	for id, a := range l.attempts {
 		j := l.state.Job(id.Job)
 		if j == nil || !j.Task(id).Assigned() || j.Task(id).Worker != a.incarnation {
+			l.noteLost(now, a, "worker_gone")
 			l.forgetAttempt(id)
 		}
 	}
--- a/internal/dispatch/observer.go
+++ b/internal/dispatch/observer.go
@@ -12,6 +12,7 @@
 	AttemptEnded(o domain.Outcome, ran time.Duration)
 	AttemptPreempted(priority int)
 	StartRejected(s Status)
+	UnknownAttempt() // A worker lists an attempt as running that the domain does not place there.
 	JobEnded(s domain.JobState, age time.Duration)
 }
 
@@ -22,4 +23,5 @@
 func (unobserved) AttemptEnded(domain.Outcome, time.Duration) {}
 func (unobserved) AttemptPreempted(int)                       {}
 func (unobserved) StartRejected(Status)                       {}
+func (unobserved) UnknownAttempt()                            {}
 func (unobserved) JobEnded(domain.JobState, time.Duration)    {}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -94,16 +94,25 @@
 			e := domain.AttemptEnd{Task: id, Attempt: attempt, Outcome: domain.OutcomeLost}
 			if tracked := l.attempts[id]; tracked != nil {
 				e.Checkpoint = tracked.checkpoint
+				l.noteLost(now, tracked, "lease_over")
 			}
 			ends = append(ends, e)
 		}
 		slices.SortFunc(ends, func(a, b domain.AttemptEnd) int { return a.Task.Compare(b.Task) })
 		s.endsInFlight, s.lossInFlight = true, true
-		l.options.Log("leases_over", "worker", s.incarnation.ID, "attempts", len(ends), "silent_ms", (now.Mono - s.answeredAt).Milliseconds())
+		l.options.Log("leases_over", "worker", s.incarnation.ID, "attempts", len(ends), "silent_ms", (now.Mono - s.answeredAt).Milliseconds(),
+			"lease_until_ms", s.leaseUntilMS, "clock_ms", s.clockLowerBound(now.Mono), "leads_ms", (now.Mono - l.beganAt).Milliseconds())
 		l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Ends: ends}})
 	}
 }
 
+// noteLost logs and counts an attempt whose task is taken back without an answer from its worker.
+func (l *Leader) noteLost(now Time, a *attemptState, cause string) {
+	l.options.Observer.AttemptEnded(domain.OutcomeLost, now.Mono-a.adoptedAt)
+	l.options.Log("attempt_lost", "job", a.task.Job, "task", a.task.String(), "attempt", a.number, "worker", a.incarnation.ID, "cause", cause,
+		"confirmed", a.startConfirmed, "adopted_ms", (now.Mono - a.adoptedAt).Milliseconds())
+}
+
 // releaseDueOccurrences proposes to add the occurrences of scheduled jobs that are due, or will be within
 // Options.EarlyStart.
 func (l *Leader) releaseDueOccurrences(now Time) {
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -164,7 +164,7 @@
 		f.jobOpen = false
 	case "attempt_begun":
 		f.attemptsOn[e.Fields["worker"]]++
-	case "attempt_ended":
+	case "attempt_ended", "attempt_lost":
 		f.attemptsOn[e.Fields["worker"]]--
 	}
 }
