dispatch: failing test for a task that runs twice under the lease of an earlier leader

Fails on this code: the task starts on a second worker at 5.7 s while its first attempt runs under a lease that the previous leader granted until about 11 s.

--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -169,17 +169,28 @@
 		w.run(time.Second)
 		// The start reaches a worker that is cut off before it can answer.
 		w.submit(domain.JobSpec{ID: "j", Payload: "work=30000", Steps: []domain.Step{step(1, 1)}})
-		w.gangs.OnEvent = func(e simworker.Event) {
-			if e.Start && w.starts == 0 {
-				w.cutOff[e.Worker.ID] = true
-			}
-			w.observe(e)
-		}
+		cutAfterStart(w, 1)
 		w.run(6 * time.Second)
 		Expect(w.starts).To(Equal(2), "3 s of lease, not 10 s")
 		Expect(w.violations).To(BeEmpty())
 	})
 
+	It("starts no task elsewhere while its worker still holds the lease of an earlier leader", func() {
+		// A worker keeps its lease while it is idle, and a shorter one does not replace it.
+		w := newWorld(1, 2)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "before", Payload: "work=500", Steps: []domain.Step{step(2, 8)}})
+		w.run(2 * time.Second)
+		Expect(w.state("before")).To(Equal(domain.JobCompleted))
+		w.elect()
+		w.run(2500 * time.Millisecond)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=30000", Steps: []domain.Step{step(1, 8)}})
+		cutAfterStart(w, 3)
+		w.run(20 * time.Second)
+		Expect(w.starts).To(Equal(4), "started again once the lease is over")
+		Expect(w.violations).To(BeEmpty())
+	})
+
 	It("accepts the end of an attempt on a worker that was cut off, and stops the attempt that replaced it", func() {
 		// The attempt completes while its worker is cut off, and is listed as done after its leases were taken to be
 		// over and the task was started again. Found with deploy/days/cut-then-idle.toml on sodnasled-prod-grown, seed
@@ -341,6 +352,16 @@
 	})
 })
 
+// cutAfterStart cuts off the worker of the n-th start of the run before it can answer.
+func cutAfterStart(w *world, n int) {
+	w.gangs.OnEvent = func(e simworker.Event) {
+		if e.Start && w.starts == n-1 {
+			w.cutOff[e.Worker.ID] = true
+		}
+		w.observe(e)
+	}
+}
+
 var _ = DescribeTable("a random run with faults", func(seed int) {
 	w := newWorld(uint64(seed), 12)
 	w.lateShare = 0.05
