dispatch: a new leader reckons with its predecessor's lease on every worker

Cause: a worker has one lease for all that it runs; it keeps it while it is idle and never shortens it. A new leader assumed the predecessor's lease only for workers with attempts. An idle worker can still hold up to 10 s of lease. If it got an attempt with the first lease of 3 s and was cut off so that the start arrived and the answer did not, the leader took the lease for over after 3 s and started the task elsewhere, while the first attempt ran on for up to 7 s.

The end of a lease counts from the beginning of the leadership for all workers known then; a predecessor grants nothing later, since its own leader lease had ended.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -105,9 +105,10 @@
 	}
 	for _, w := range state.Workers() {
 		s := l.session(w.Incarnation, now) // Idle workers get a session too, so that they are asked for their clocks at once.
+		s.inherited = true                 // A worker keeps its lease while it is idle.
 		for id, attempt := range w.Attempts() {
 			l.adopt(id, attempt, w.Incarnation, now).inherited = true
-			s.holdNow, s.inherited = true, true
+			s.holdNow = true
 		}
 	}
 	return l
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -34,7 +34,7 @@
 	holdNow        bool          // A hold that is answered at once is to be sent.
 	failedInARow   int           // Consecutive failures that count against the worker.
 	avoidUntil     time.Duration // Until then, the worker gets no new attempts.
-	inherited      bool          // Attempts of an earlier leader may run under a lease that it granted.
+	inherited      bool          // The worker may hold a lease that an earlier leader granted.
 	forgetInFlight bool          // A command that forgets this incarnation is proposed and not applied yet.
 }
 
