dispatch, corehost: forget a leaving worker only when nothing runs on it

What callers could see: a task ran twice (TWICE) when a worker left while the answer to its notice was late or lost.

Cause: the notice (DELETE) was committed as the end of the worker, its attempts were dropped at once and their tasks started elsewhere within milliseconds. A worker ends when it gets the answer; without one it goes on for seconds, and its tasks with it. Starts and holds also went on while the command was in flight.

Now the notice makes the leader stop the attempts, which saves their checkpoints; the worker is forgotten when the last end is committed, and only then the notice is acknowledged. A worker that ends without an answer is resolved by the end of its lease, which is not renewed any more. While a worker is being forgotten, no start is sent to it.

--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -237,13 +237,31 @@
 	return r
 }
 
-// deregister removes a worker that has ended. If the operation names an incarnation, only that one is removed.
+// Limits of the wait for the departure of a worker.
+const (
+	leaveTimeout   = 800 * time.Millisecond // A worker sends its notice to another host after a second without an answer.
+	leavePollEvery = 10 * time.Millisecond
+)
+
+// deregister removes a worker that is about to end, and waits until it is removed. If the operation names an
+// incarnation, only that one is removed. The answer makes the worker end, so it is given only when nothing runs there.
 func (h *Host) deregister(ctx context.Context, now dispatch.Time, op service.Operation) service.Result {
 	w := h.stateMachine.Worker(op.Worker.Incarnation.ID)
 	if w == nil || (op.Worker.Incarnation.BornMS != 0 && w.Incarnation != op.Worker.Incarnation) {
 		return service.Result{Outcome: service.Done}
 	}
-	return h.commitOperation(ctx, now, &domain.Command{Forget: &domain.ForgetWorker{Incarnation: w.Incarnation}})
+	incarnation := w.Incarnation
+	h.leader.WorkerLeaves(now, incarnation)
+	h.wake()
+	for deadline := now.Mono + leaveTimeout; h.leads(now) && now.Mono < deadline && ctx.Err() == nil; now = h.now() {
+		h.mu.Unlock()
+		time.Sleep(leavePollEvery)
+		h.mu.Lock()
+		if w := h.stateMachine.Worker(incarnation.ID); w == nil || w.Incarnation != incarnation {
+			return service.Result{Outcome: service.Done}
+		}
+	}
+	return service.Result{Outcome: service.OutcomeUnknown}
 }
 
 // PrepareStop prepares a planned stop: it transfers the leadership to another host. This host continues to forward
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -22,7 +22,7 @@
 		}
 		s := l.session(a.incarnation, now)
 		switch {
-		case s.lossInFlight: // An attempt that is started again now could run while its task starts elsewhere.
+		case s.lossInFlight || s.forgetInFlight: // An attempt that is started now could run while its task starts elsewhere.
 		case a.stopWanted && !a.stopConfirmed:
 			a.callsInFlight++
 			l.sendCall(now, w, Call{Kind: CallStop, Task: id, Attempt: a.number})
@@ -122,7 +122,7 @@
 // sendHold sends a hold. It renews the lease if the worker has a confirmed attempt and is not silent.
 func (l *Leader) sendHold(now Time, w *domain.Worker, s *session, wait time.Duration) {
 	c := Call{Kind: CallHold, Cursor: w.Cursor, Wait: wait}
-	if s.hasClock && !s.silent(now.Mono) && l.hasConfirmedAttempt(w) {
+	if s.hasClock && !s.silent(now.Mono) && !s.leaving && l.hasConfirmedAttempt(w) {
 		c.UntilMS = l.extendLease(now, s, l.options.LeaseDuration)
 	}
 	s.holdsInFlight++
@@ -177,12 +177,10 @@
 
 // incarnationOver proposes to forget a worker's incarnation after another one has answered at its address.
 func (l *Leader) incarnationOver(now Time, s *session) {
-	if s.forgetInFlight {
-		return
+	if !s.forgetInFlight {
+		l.options.Log("worker_life_over", "worker", s.incarnation.ID, "born_ms", s.incarnation.BornMS)
 	}
-	s.forgetInFlight = true
-	l.options.Log("worker_life_over", "worker", s.incarnation.ID, "born_ms", s.incarnation.BornMS)
-	l.propose(now, domain.Command{Forget: &domain.ForgetWorker{Incarnation: s.incarnation}})
+	l.forget(now, s)
 }
 
 // unanswered schedules the retry of a call that was not answered.
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -157,6 +157,44 @@
 	s.learnClock(now.Mono, clockMS)
 }
 
+// WorkerLeaves handles a worker's notice that it is about to end. The worker may run on for some time after the notice,
+// so its attempts are stopped, and it is forgotten only when none is left.
+func (l *Leader) WorkerLeaves(now Time, incarnation domain.WorkerIncarnation) {
+	s := l.session(incarnation, now)
+	if s.leaving {
+		return
+	}
+	s.leaving = true
+	l.options.Log("worker_leaving", "worker", incarnation.ID, "born_ms", incarnation.BornMS,
+		"attempts", len(l.state.Worker(incarnation.ID).Attempts()))
+	for _, a := range l.attempts {
+		if a.incarnation == incarnation {
+			l.abandon(a, reasonLeaving)
+		}
+	}
+}
+
+// reasonLeaving is why attempts on a leaving worker are stopped.
+const reasonLeaving = "its worker leaves"
+
+// forgetLeaving proposes to forget the leaving workers that have no attempts any more.
+func (l *Leader) forgetLeaving(now Time) {
+	for _, s := range l.sessions {
+		if w := l.state.Worker(s.incarnation.ID); s.leaving && w != nil && w.Incarnation == s.incarnation && len(w.Attempts()) == 0 {
+			l.forget(now, s)
+		}
+	}
+}
+
+// forget proposes to forget a worker's incarnation. Until that is applied, it gets no starts.
+func (l *Leader) forget(now Time, s *session) {
+	if s.forgetInFlight {
+		return
+	}
+	s.forgetInFlight = true
+	l.propose(now, domain.Command{Forget: &domain.ForgetWorker{Incarnation: s.incarnation}})
+}
+
 // Applied updates the leader after a command has been applied to the domain.
 func (l *Leader) Applied(now Time, c *domain.Command, r domain.Result) {
 	l.dirty = true
@@ -196,7 +234,10 @@
 	if t.Worker != a.Worker || l.attempts[a.Task] != nil {
 		return
 	}
-	l.adopt(a.Task, t.Attempt, a.Worker, now)
+	tracked := l.adopt(a.Task, t.Attempt, a.Worker, now)
+	if l.session(a.Worker, now).leaving { // The notice came while the start was being committed.
+		l.abandon(tracked, reasonLeaving)
+	}
 	l.options.Observer.AttemptBegun(j.Spec.Priority, milliseconds(l.WaitedMS(now, j, a.Task.Occurrence, a.Task.Step)))
 	l.options.Log("attempt_begun", "job", a.Task.Job, "task", a.Task.String(), "attempt", t.Attempt, "worker", a.Worker.ID,
 		"waited_ms", now.WallMS-j.AcceptedMS, "failed_before", t.Failures)
@@ -310,6 +351,7 @@
 		l.releaseDueOccurrences(now)
 		l.housekeeping(now)
 	}
+	l.forgetLeaving(now)
 	l.advanceWaves(now)
 	l.plan(now)
 	l.sendStartsAndStops(now)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -35,6 +35,7 @@
 	failedInARow   int           // Consecutive failures that count against the worker.
 	avoidUntil     time.Duration // Until then, the worker gets no new attempts.
 	inherited      bool          // The worker may hold a lease that an earlier leader granted.
+	leaving        bool          // The worker has announced its end; it is forgotten once it has no attempts.
 	forgetInFlight bool          // A command that forgets this incarnation is proposed and not applied yet.
 }
 
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -153,9 +153,8 @@
 	for id, s := range l.sessions {
 		w := l.state.Worker(id)
 		quiet := now.Mono-max(s.answeredAt, s.reportedAt) > forgetAfter
-		if w != nil && w.Incarnation == s.incarnation && quiet && len(w.Attempts()) == 0 && !s.forgetInFlight {
-			s.forgetInFlight = true
-			l.propose(now, domain.Command{Forget: &domain.ForgetWorker{Incarnation: s.incarnation}})
+		if w != nil && w.Incarnation == s.incarnation && quiet && len(w.Attempts()) == 0 {
+			l.forget(now, s)
 		}
 	}
 	if now.Mono >= l.nextPurgeAt {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -85,7 +85,7 @@
 	TakeZoneOut
 	BringZoneIn
 	Register   // A worker's report about itself; the first one adds the worker.
-	Deregister // A worker has ended.
+	Deregister // A worker is about to end.
 	StartWave  // An operator's request for the upkeep of a wave of machines.
 	GetWave
 )
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -172,7 +172,7 @@
 // Events about a worker, which concern each job with an attempt on that worker, and events that concern all open jobs.
 var (
 	workerEvents = map[string]bool{
-		"leases_over": true, "worker_life_over": true, "worker_left": true, "worker_forgotten": true,
+		"leases_over": true, "worker_life_over": true, "worker_leaving": true, "worker_left": true, "worker_forgotten": true,
 		"worker_registered": true, "worker_call_unanswered": true, "worker_call_refused": true, "worker_list_unreadable": true,
 	}
 	openJobEvents = map[string]bool{
