dispatch: workers that ended unseen no longer close their zone to new attempts

Cause: a zone is suspected of being cut off while three or more of its workers leave calls unanswered and these are more than those that answered within the last second. Workers that end while no leader can commit stay registered: their calls fail until they are forgotten, 30 s after their leases are over or later. The workers that are left in the zone are idle, so they get no calls and don't count as answering, and get no attempts, so they stay idle. Ruled out: the reserve of empty workers, the reservations for gangs and the guarantees; with all workers in the view these give way under light load, as they should.

Change: a worker counts for the suspicion only if it has answered or reported in time, by the limit after which it gets no attempts itself. A zone that is cut off from the leader alone keeps reporting and stays suspected; in a zone that is cut off from all, no worker reports and none is usable.

Test: gets new attempts once the workers that do not answer have stopped reporting too. Before the change it failed: 8 of 9 workers got attempts, the one that was left in the zone none.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -256,7 +256,8 @@
 	// reportSlack is how late a report may be before its worker gets no new attempts.
 	reportSlack = 700 * time.Millisecond
 	// suspectZoneFailures is how many workers of a zone must leave calls unanswered for the zone to be suspected of
-	// being cut off. They must also be more than those that have answered within recentAnswer.
+	// being cut off. They must also be more than those that have answered within recentAnswer. Workers that have not been
+	// heard from for reportSlack longer than a report's period have ended, or get no attempts anyway, and don't count.
 	suspectZoneFailures = 3
 	recentAnswer        = time.Second
 )
@@ -268,7 +269,7 @@
 	for id, s := range l.sessions {
 		w := l.state.Worker(id)
 		switch {
-		case w == nil:
+		case w == nil || !l.heardFrom(now, s):
 		case s.failures > 0:
 			failing[w.Zone]++
 		case s.everAnswered && now.Mono-s.answeredAt < recentAnswer:
@@ -286,8 +287,12 @@
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Incarnation.ID]
 	return s != nil && s.incarnation == w.Incarnation && !s.forgetInFlight && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
-		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil &&
-		now.Mono-max(s.answeredAt, s.reportedAt) < l.options.ReportPeriod+reportSlack
+		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil && l.heardFrom(now, s)
+}
+
+// heardFrom tells whether a worker has answered or reported in time.
+func (l *Leader) heardFrom(now Time, s *session) bool {
+	return now.Mono-max(s.answeredAt, s.reportedAt) < l.options.ReportPeriod+reportSlack
 }
 
 // attemptsOn returns the attempts on a worker, with what the placement needs to choose among them for preemption.
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -263,3 +263,29 @@
 		Expect(fewest).To(Equal(3))
 	})
 })
+
+var _ = Describe("a zone of which workers leave calls unanswered", func() {
+	// Guards against idle workers that get no attempts for as long as others of their zone, which have ended unseen, are
+	// registered.
+	It("gets new attempts once the workers that do not answer have stopped reporting too", func() {
+		w := newWorld(1, 12)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "before", Payload: "work=1500", Steps: []domain.Step{step(12, 8)}})
+		w.run(2 * time.Second)
+		gone := []string{"i-000", "i-003", "i-006"} // All but one of the zone.
+		for _, id := range gone {
+			w.crash(w.worker(id))
+		}
+		w.run(10 * time.Second)
+		w.submit(domain.JobSpec{ID: "after", Payload: "work=1000", Steps: []domain.Step{step(9, 8)}})
+		w.run(w.now + 500*time.Millisecond)
+		for _, id := range gone {
+			Expect(w.stateMachine.Worker(id)).NotTo(BeNil())
+		}
+		var on []string
+		for _, e := range w.running {
+			on = append(on, e.Worker.ID)
+		}
+		Expect(on).To(ContainElement("i-009"), "the worker that is left in the zone")
+	})
+})
