domain: decide first whether a report is delayed, then remove workers

What callers saw: nothing that was traced to it; found by reading. A report of a worker that names the address of two others, one of which started later, is refused as delayed. Before it found the later one, it may already have removed the other worker and its attempts.

Cause: replaceAtAddress walked a map and changed the state on the way. Each replica has its own order, so that replicas could differ in which workers exist and which tasks are unassigned. Two workers share an address if one of them reports another address than before.

The test fails on the code before: the worker is gone although the report has changed nothing. Now the workers to be removed are collected first, and removed in the order of their identifiers, so that a refused report changes nothing on any replica.

--- a/internal/domain/apply_worker.go
+++ b/internal/domain/apply_worker.go
@@ -1,6 +1,9 @@
 package domain
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // applyRegister adds a worker, updates it, or replaces an earlier incarnation of it.
 func (m *StateMachine) applyRegister(w *Worker) Result {
@@ -31,9 +34,10 @@
 }
 
 // replaceAtAddress removes other workers that were registered at the address of a new one and started earlier. It
-// returns false if one of them started later: then the report of the new worker was delayed, and it no longer runs
-// there.
+// returns false and removes none if one of them started later: then the report of the new worker was delayed, and it no
+// longer runs there.
 func (m *StateMachine) replaceAtAddress(w *Worker) bool {
+	var replaced []WorkerIncarnation
 	for id, other := range m.state.Workers {
 		if id == w.Incarnation.ID || other.Address != w.Address {
 			continue
@@ -41,8 +45,13 @@
 		if other.Incarnation.BornMS > w.Incarnation.BornMS {
 			return false
 		}
-		m.clear(other.Incarnation)
-		delete(m.state.Workers, id)
+		replaced = append(replaced, other.Incarnation)
+	}
+	// All replicas remove them in the same order.
+	slices.SortFunc(replaced, func(a, b WorkerIncarnation) int { return strings.Compare(a.ID, b.ID) })
+	for _, incarnation := range replaced {
+		m.clear(incarnation)
+		delete(m.state.Workers, incarnation.ID)
 	}
 	return true
 }
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -246,6 +246,20 @@
 		Expect(f.do(domain.Command{Register: worker("w", 9, "10.0.0.1:80")})).To(Equal(domain.NotChanged))
 	})
 
+	// Guards against replicas that differ because the order of a map decides which workers a refused report removes.
+	It("removes no worker at an address if it ignores a report from there as delayed", func() {
+		for range 32 {
+			f := newFixture()
+			f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
+			f.start(id("j", 0))
+			f.do(domain.Command{Register: worker("x", 20, "10.0.0.2:80")})
+			f.do(domain.Command{Register: worker("x", 20, "10.0.0.1:80")})
+			Expect(f.do(domain.Command{Register: worker("y", 10, "10.0.0.1:80")})).To(Equal(domain.NotChanged))
+			Expect(f.Worker("w")).NotTo(BeNil())
+			Expect(f.Job("j").Task(id("j", 0)).Assigned()).To(BeTrue())
+		}
+	})
+
 	It("purges an ended job only if it ended before the time and none of its attempts may run", func() {
 		f := newFixture()
 		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
