system, table: a deadline ends no job of which an attempt may have run

What callers saw: nothing that was traced to it; found by reading. A job with a deadline that started in time, and whose attempt was preempted or lost, could be answered "expired" while it waited for its next attempt, though api says that a job expires if it has not started by then.

Cause: two places end jobs whose deadline has passed. The cell's timer leaves out jobs that may have run (MayHaveRun); Policy.expire asked only whether an attempt runs now, and the table kept and added deadlines of requeued jobs.

The test fails on the code before: the plan ends the requeued job, twice. Now the table itself takes no deadline of a job that may have run, and drops one that it has, so that a deadline that has passed makes no tick due either.

The comment of JobExpired says what api says.

--- a/internal/system/expire.go
+++ b/internal/system/expire.go
@@ -8,7 +8,7 @@
 	"github.com/mustardwalk/mustardwalk/internal/table"
 )
 
-// expire ends queued jobs whose deadline has passed.
+// expire ends queued jobs whose deadline has passed before any attempt may have run.
 func (p *Policy) expire(now time.Duration) {
 	for _, j := range p.tables.Expired(now) {
 		if p.tables.Attempt(j.Attempt) != nil {
--- a/internal/system/policy_test.go
+++ b/internal/system/policy_test.go
@@ -208,6 +208,25 @@
 		Expect(z.tick(time.Second).JobEnds).To(BeEmpty())
 	})
 
+	// Guards against a deadline that ends a job which started in time and waits for its next attempt.
+	It("does not end a job whose deadline passes after an attempt may have run", func() {
+		z := newZone(1, 1, workspace("a", 1))
+		j := z.submit("a", table.Urgent, oneAccelerator)
+		j.DeadlineMillis = 1000
+		z.tables.SetJobState(j, table.JobRunning)
+		z.tables.SetJobState(j, table.JobQueued) // The table takes the deadline over when the job is queued.
+		z.tick(100 * time.Millisecond)
+		Expect(isRunning(z, j)).To(BeTrue())
+		j.MayHaveRun = true
+		z.tables.Service.Out = true
+		z.end(j, table.JobQueued, false, false)
+		Expect(z.tick(2 * time.Second).JobEnds).To(BeEmpty())
+		Expect(tickAllocs(z)).To(BeZero(), "its deadline makes no further tick due")
+		z.tables.Service.Out = false
+		z.tick(time.Millisecond)
+		Expect(isRunning(z, j)).To(BeTrue())
+	})
+
 	It("retries a job on another worker than it failed on, and allocates no memory in a tick without changes", func() {
 		z := newZone(1, 2, workspace("a", 1))
 		j := z.submitAndTick("a", table.Urgent, oneAccelerator, 1)[0]
--- a/internal/table/entities.go
+++ b/internal/table/entities.go
@@ -58,7 +58,7 @@
 	JobSucceeded JobOutcome = "succeeded"
 	JobFailed    JobOutcome = "failed"
 	JobCancelled JobOutcome = "cancelled"
-	JobExpired   JobOutcome = "expired" // Its deadline passed while it was queued; an earlier attempt may have run.
+	JobExpired   JobOutcome = "expired" // Its deadline passed while it was queued, before any attempt may have run.
 	JobUnknown   JobOutcome = "unknown" // The job must not be repeated, and whether it completed cannot be determined.
 )
 
--- a/internal/table/queue.go
+++ b/internal/table/queue.go
@@ -81,13 +81,14 @@
 	return out
 }
 
-// Expired returns the queued jobs whose deadline has passed. Every call returns them again until they leave the queue.
+// Expired returns the jobs that may expire and whose deadline has passed. Every call returns them again until they leave
+// the queue.
 func (t *Tables) Expired(now time.Duration) []*Job {
 	var out []*Job
 	var keep []deadline
 	for len(t.deadlines) > 0 && t.deadlines[0].at <= now {
 		d := heap.Pop(&t.deadlines).(deadline)
-		if !t.isQueued(d.job) {
+		if !t.mayExpire(d.job) {
 			continue
 		}
 		// The time of acceptance may have been set after the job was added.
@@ -104,7 +105,7 @@
 }
 
 // NextDeadline returns the earliest deadline in the heap of deadlines, or false if the heap is empty. Jobs that left
-// the queue may still be in the heap, so the time may be earlier than the deadline of any queued job.
+// the queue may still be in the heap, so the time may be earlier than the deadline of any job that may expire.
 func (t *Tables) NextDeadline() (time.Duration, bool) {
 	if len(t.deadlines) == 0 {
 		return 0, false
@@ -131,7 +132,7 @@
 	}
 	g.jobs = insertJob(g.jobs, j)
 	t.queuedCount++
-	if j.DeadlineMillis > 0 {
+	if j.DeadlineMillis > 0 && !j.MayHaveRun {
 		t.trimDeadlines()
 		heap.Push(&t.deadlines, deadline{deadlineOf(j), j})
 	}
@@ -178,22 +179,25 @@
 	return cmp.Or(cmp.Compare(a.Sequence, b.Sequence), cmp.Compare(a.ID, b.ID))
 }
 
-// trimDeadlines removes the entries of jobs that left the queue once these outnumber the queued jobs. Replicas that do
-// not schedule never pop them otherwise.
+// trimDeadlines removes the entries of jobs that can no longer expire once the entries outnumber the queued jobs by far.
+// Replicas that do not schedule never pop them otherwise.
 func (t *Tables) trimDeadlines() {
 	if len(t.deadlines) < 2*t.queuedCount+minDeadlinesToTrim {
 		return
 	}
-	t.deadlines = slices.DeleteFunc(t.deadlines, func(d deadline) bool { return !t.isQueued(d.job) })
+	t.deadlines = slices.DeleteFunc(t.deadlines, func(d deadline) bool { return !t.mayExpire(d.job) })
 	heap.Init(&t.deadlines)
 }
 
-func (t *Tables) isQueued(j *Job) bool { return t.jobs[j.ID] == j && j.State == JobQueued }
+// mayExpire reports whether a deadline can end a job: it is queued, and no attempt may have run.
+func (t *Tables) mayExpire(j *Job) bool {
+	return t.jobs[j.ID] == j && j.State == JobQueued && !j.MayHaveRun
+}
 
 // minDeadlinesToTrim is the number of heap entries below which trimDeadlines does nothing.
 const minDeadlinesToTrim = 256
 
-// deadline is an entry of the heap of deadlines. Entries of jobs that have left the queue are dropped when popped.
+// deadline is an entry of the heap of deadlines. Entries of jobs that can no longer expire are dropped when popped.
 type deadline struct {
 	at  time.Duration
 	job *Job
