dispatch: propose occurrences that are due once, and keep no marks

What callers saw: nothing that was traced to it; found by reading. If two or more occurrences of a scheduled job fell due at once, the leader proposed the same command again every 50 ms until the first was committed, the longer the commit took the more. And for each command it kept a mark for the rest of its leadership, also of ended jobs.

Cause: the mark stood in readySinceMS under the new number of occurrences; releaseInFlight looked for the present number plus one, and forgetJob dropped only keys of occurrences that exist.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -56,6 +56,7 @@
 	lastCallID      uint64
 	readySinceMS    map[stepKey]int64 // Since when tasks of a step could start, Unix milliseconds.
 	criticalPathsMS map[domain.JobID]int64
+	releasing       map[domain.JobID]int  // Occurrences that a job will have once a command that adds some is applied.
 	endedJobs       map[domain.JobID]bool // Jobs whose end was logged and counted.
 	startInFlight   bool                  // A command with starts is proposed and not applied yet.
 	hasBestEffort   bool                  // An open job has best-effort tasks.
@@ -94,6 +95,7 @@
 		callsInFlight:   map[uint64]pendingCall{},
 		readySinceMS:    map[stepKey]int64{},
 		criticalPathsMS: map[domain.JobID]int64{},
+		releasing:       map[domain.JobID]int{},
 		endedJobs:       map[domain.JobID]bool{},
 		dirty:           true,
 		// A host may lead again within one term. Identifiers that begin at the clock keep it from taking the answers to
@@ -181,6 +183,8 @@
 		}
 	case c.Register != nil, c.Forget != nil:
 		l.dropStale()
+	case c.Release != nil:
+		l.releaseApplied(c.Release)
 	case c.Upkeep != nil:
 		l.upkeepApplied(c.Upkeep)
 	case c.Purge != nil:
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -52,6 +52,23 @@
 		Expect(w.state("j")).To(Equal(domain.JobCompleted))
 	})
 
+	// Guards against a log that fills with copies of a command while its commit is slow, and against memory that grows
+	// with every scheduled job.
+	It("proposes occurrences that are due at once one time, and keeps nothing of an ended job", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		w.commitDelay = 400 * time.Millisecond
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=100", Steps: []domain.Step{step(1, 1)},
+			RepeatCount: 6, StartAtMS: wallStart + 500, IntervalMS: 300})
+		w.run(4 * time.Second)
+		w.commitDelay = usualCommitDelay
+		w.run(8 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.starts).To(Equal(6))
+		Expect(w.releases).To(Equal(3), "occurrences 0 to 3 at 1.4 s, 4 at 1.8 s, 5 at 2.2 s")
+		Expect(w.leader.PlanningEntries()).To(BeZero())
+	})
+
 	It("fails a job whose task has used up its attempts, and counts a gang once", func() {
 		w := newWorld(1, 8)
 		w.run(time.Second)
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -117,19 +117,19 @@
 		for due < j.Spec.Occurrences() && j.Spec.DueMS(due) <= limit {
 			due++
 		}
-		if due > n && !l.releaseInFlight(id) {
-			l.readySinceMS[stepKey{id, -1, due}] = now.WallMS
+		if due > n && l.releasing[id] == 0 {
+			l.releasing[id] = due
 			l.propose(now, domain.Command{Release: &domain.ReleaseOccurrences{Job: id, Count: due}})
 		}
 	}
 }
 
-// releaseInFlight tells whether a command that adds the next occurrence may not be applied yet. Such a command is
-// marked in readySinceMS under a key with occurrence -1 and the new number of occurrences as step.
-func (l *Leader) releaseInFlight(id domain.JobID) bool {
-	j := l.state.Job(id)
-	_, marked := l.readySinceMS[stepKey{id, -1, len(j.Occurrences) + 1}]
-	return marked
+// releaseApplied handles an applied command that adds occurrences. A command of an earlier leadership may add fewer than
+// the one in flight.
+func (l *Leader) releaseApplied(r *domain.ReleaseOccurrences) {
+	if r.Count >= l.releasing[r.Job] {
+		delete(l.releasing, r.Job)
+	}
 }
 
 // forgetAfter is for how long a worker without attempts may neither answer nor report before it is forgotten. If it
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -39,6 +39,7 @@
 	commitDelay     time.Duration       // Time until a proposal is applied.
 	log             func(event string, kv ...any)
 	onLoss          func() // Called when a command that declares attempts lost is proposed.
+	releases        int    // Proposed commands that add occurrences.
 	queue           events
 	lastOrder       int
 	starts          int
@@ -136,6 +137,9 @@
 	if c.End != nil && len(c.End.Ends) > 0 && c.End.Ends[0].Outcome == domain.OutcomeLost {
 		w.onLoss()
 	}
+	if c.Release != nil {
+		w.releases++
+	}
 	w.at(w.now+w.commitDelay, func() { w.apply(*c) })
 }
 
