dispatch: a worker that was forgotten and registers again keeps its earlier lease in the leader's reckoning

A session was dropped with its worker, and the next session of the same incarnation began without a lease, though the worker kept up to 10 s of it. Cut off after a start with the first lease of 3 s, it ran the attempt while the task started elsewhere.

The end of the leases of a dropped session is kept until it is over. A worker born before the leadership is taken to hold a lease of the predecessor until that is over, also when it registers later.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -49,11 +49,14 @@
 	sessions map[string]*session
 	attempts map[domain.TaskID]*attemptState
 	// unsettled holds the attempts that still need calls: their start is not confirmed, or they are to be stopped.
-	unsettled       map[domain.TaskID]*attemptState
-	workerIDs       []string // Identifiers of the workers, sorted.
-	workersChanged  bool     // workerIDs must be built anew.
-	callsInFlight   map[uint64]pendingCall
-	lastCallID      uint64
+	unsettled      map[domain.TaskID]*attemptState
+	workerIDs      []string // Identifiers of the workers, sorted.
+	workersChanged bool     // workerIDs must be built anew.
+	callsInFlight  map[uint64]pendingCall
+	lastCallID     uint64
+	// leaseEnds holds when the leases of workers are over whose sessions were dropped. A worker that was forgotten may
+	// still run, and registers again.
+	leaseEnds       map[domain.WorkerIncarnation]time.Duration
 	readySinceMS    map[stepKey]int64 // Since when tasks of a step could start, Unix milliseconds.
 	criticalPathsMS map[domain.JobID]int64
 	endedJobs       map[domain.JobID]bool // Jobs whose end was logged and counted.
@@ -92,6 +95,7 @@
 		attempts:        map[domain.TaskID]*attemptState{},
 		unsettled:       map[domain.TaskID]*attemptState{},
 		callsInFlight:   map[uint64]pendingCall{},
+		leaseEnds:       map[domain.WorkerIncarnation]time.Duration{},
 		readySinceMS:    map[stepKey]int64{},
 		criticalPathsMS: map[domain.JobID]int64{},
 		endedJobs:       map[domain.JobID]bool{},
@@ -104,8 +108,8 @@
 		beganAt:     now.Mono, beganWallMS: now.WallMS,
 	}
 	for _, w := range state.Workers() {
-		s := l.session(w.Incarnation, now) // Idle workers get a session too, so that they are asked for their clocks at once.
-		s.inherited = true                 // A worker keeps its lease while it is idle.
+		s := l.session(w.Incarnation, now)                            // Idle workers get a session too, so that they are asked for their clocks at once.
+		s.earlierLeaseEnd = now.Mono + longest(options.LeaseDuration) // A worker keeps its lease while it is idle.
 		for id, attempt := range w.Attempts() {
 			l.adopt(id, attempt, w.Incarnation, now).inherited = true
 			s.holdNow = true
@@ -141,7 +145,10 @@
 func (l *Leader) session(incarnation domain.WorkerIncarnation, now Time) *session {
 	s := l.sessions[incarnation.ID]
 	if s == nil || s.incarnation != incarnation {
-		s = &session{incarnation: incarnation, createdAt: now.Mono, answeredAt: now.Mono, reportedAt: now.Mono}
+		s = &session{incarnation: incarnation, createdAt: now.Mono, answeredAt: now.Mono, reportedAt: now.Mono, earlierLeaseEnd: l.leaseEnds[incarnation]}
+		if incarnation.BornMS <= l.beganWallMS { // An earlier leader may have granted it a lease and forgotten it.
+			s.earlierLeaseEnd = max(s.earlierLeaseEnd, l.beganAt+longest(l.options.LeaseDuration))
+		}
 		l.sessions[incarnation.ID] = s
 	}
 	return s
@@ -332,6 +339,7 @@
 	l.workersChanged = true
 	for id, s := range l.sessions {
 		if w := l.state.Worker(id); w == nil || w.Incarnation != s.incarnation {
+			l.leaseEnds[s.incarnation] = s.leaseEnd()
 			delete(l.sessions, id)
 		}
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -22,21 +22,22 @@
 	hasClock     bool
 	leaseUntilMS int64 // Latest end of a lease that this leader has sent.
 	// answeredAt is when the worker last answered a call, reportedAt when its last report arrived.
-	answeredAt     time.Duration
-	reportedAt     time.Duration
-	everAnswered   bool
-	failures       int // Calls without an answer, or holds refused, since the last answer.
-	holdsInFlight  int
-	nextHoldAt     time.Duration // Earliest time of the next hold.
-	endsInFlight   bool          // A command with ends of this worker is proposed and not applied yet.
-	lossInFlight   bool          // That command declares all its attempts lost: none may be started, and no lease renewed.
-	ackedCursor    int64         // Highest cursor that the worker has received.
-	holdNow        bool          // A hold that is answered at once is to be sent.
-	failedInARow   int           // Consecutive failures that count against the worker.
-	avoidUntil     time.Duration // Until then, the worker gets no new attempts.
-	inherited      bool          // The worker may hold a lease that an earlier leader granted.
-	leaving        bool          // The worker has announced its end; it is forgotten once it has no attempts.
-	forgetInFlight bool          // A command that forgets this incarnation is proposed and not applied yet.
+	answeredAt    time.Duration
+	reportedAt    time.Duration
+	everAnswered  bool
+	failures      int // Calls without an answer, or holds refused, since the last answer.
+	holdsInFlight int
+	nextHoldAt    time.Duration // Earliest time of the next hold.
+	endsInFlight  bool          // A command with ends of this worker is proposed and not applied yet.
+	lossInFlight  bool          // That command declares all its attempts lost: none may be started, and no lease renewed.
+	ackedCursor   int64         // Highest cursor that the worker has received.
+	holdNow       bool          // A hold that is answered at once is to be sent.
+	failedInARow  int           // Consecutive failures that count against the worker.
+	avoidUntil    time.Duration // Until then, the worker gets no new attempts.
+	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
+	earlierLeaseEnd time.Duration
+	leaving         bool // The worker has announced its end; it is forgotten once it has no attempts.
+	forgetInFlight  bool // A command that forgets this incarnation is proposed and not applied yet.
 }
 
 // clockLowerBound returns a lower bound of the worker's clock: the last reading, advanced at the slowest allowed rate.
@@ -54,11 +55,8 @@
 }
 
 // leaseEnd returns when all leases on the worker are certainly over, including those that earlier leaders granted.
-func (s *session) leaseEnd(lease time.Duration) time.Duration {
-	over := time.Duration(0)
-	if s.inherited {
-		over = s.createdAt + time.Duration(float64(lease)/slowestClockRate)
-	}
+func (s *session) leaseEnd() time.Duration {
+	over := s.earlierLeaseEnd
 	if s.hasClock && s.leaseUntilMS > 0 {
 		left := float64(s.leaseUntilMS-s.clockMS) / slowestClockRate
 		over = max(over, s.clockAt+time.Duration(left*float64(time.Millisecond)))
@@ -66,6 +64,11 @@
 	return over + leaseSlack
 }
 
+// longest returns how long a lease takes at most, on a monotonic clock here.
+func longest(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) / slowestClockRate)
+}
+
 // silentAfter is for how long a worker may leave calls unanswered before its lease is no longer extended.
 const silentAfter = 1200 * time.Millisecond
 
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -86,7 +87,7 @@
 		if w == nil || w.Incarnation != s.incarnation || len(w.Attempts()) == 0 || s.endsInFlight || !s.silent(now.Mono) {
 			continue
 		}
-		if now.Mono < s.leaseEnd(l.options.LeaseDuration) {
+		if now.Mono < s.leaseEnd() {
 			continue
 		}
 		var ends []domain.AttemptEnd
@@ -157,6 +158,7 @@
 			l.forget(now, s)
 		}
 	}
+	maps.DeleteFunc(l.leaseEnds, func(_ domain.WorkerIncarnation, end time.Duration) bool { return end <= now.Mono })
 	if now.Mono >= l.nextPurgeAt {
 		l.nextPurgeAt = now.Mono + purgeEvery
 		l.propose(now, domain.Command{Purge: &domain.PurgeEndedJobs{BeforeMS: now.WallMS - l.options.Retention.Milliseconds()}})
