domain, dispatch: stop the attempts of an earlier incarnation at the one that replaces it before their tasks start elsewhere

A worker may start again under its identifier. It has seen no fencing token and its clock begins anew, so it carries out a late start that was meant for its earlier incarnation. When it registered, the attempts of the earlier one were dropped and their tasks started elsewhere: they ran twice, and the worker was overcommitted.

Now the attempts move to the new incarnation, keep their capacity there and are stopped; their tasks wait until the stop is confirmed, after which the worker rejects a late start. An answer to a hold that shows the new incarnation before it has registered no longer frees them either. Task.Moved tells a new leader to stop them too.

The model now delivers late calls to whatever incarnation has the identifier, and tells the start of an incarnation only with lists, as the protocol says. The test of the domain that expected the attempts to be dropped is replaced by one that expects them to move, to keep their capacity, and to end only by the new incarnation.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -153,10 +153,15 @@
 	default:
 		a.callsInFlight--
 	}
-	if r.Status == OtherIncarnation || (r.BornMS != 0 && s.incarnation.BornMS != 0 && r.BornMS != s.incarnation.BornMS) {
+	if r.Status == OtherIncarnation {
 		l.incarnationOver(now, s)
 		return
 	}
+	if r.BornMS != 0 && s.incarnation.BornMS != 0 && r.BornMS != s.incarnation.BornMS {
+		l.incarnationReplaced(now, s)
+		l.unanswered(now, s, a)
+		return
+	}
 	if r.Status == NoAnswer {
 		l.unanswered(now, s, a)
 		return
@@ -183,6 +188,24 @@
 	l.forget(now, s)
 }
 
+// incarnationReplaced handles an answer of another incarnation with the same identifier. It could also carry out starts
+// that were meant for this one, so the attempts are kept until that one registers, and stopped there.
+func (l *Leader) incarnationReplaced(now Time, s *session) {
+	if w := l.state.Worker(s.incarnation.ID); w == nil || len(w.Attempts()) == 0 {
+		l.incarnationOver(now, s)
+		return
+	}
+	if !s.replaced {
+		s.replaced = true
+		l.options.Log("worker_life_over", "worker", s.incarnation.ID, "born_ms", s.incarnation.BornMS)
+	}
+	for _, a := range l.attempts {
+		if a.incarnation == s.incarnation {
+			l.abandon(a, reasonRestarted)
+		}
+	}
+}
+
 // unanswered schedules the retry of a call that was not answered.
 func (l *Leader) unanswered(now Time, s *session, a *attemptState) {
 	s.failures++
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -115,6 +115,11 @@
 			s.holdNow = true
 		}
 	}
+	for id, a := range l.attempts {
+		if state.Job(id.Job).Task(id).Moved {
+			l.abandon(a, reasonRestarted)
+		}
+	}
 	return l
 }
 
@@ -327,14 +332,28 @@
 	}
 }
 
-// dropStale drops the attempts and sessions of incarnations of workers that have ended.
+// reasonRestarted is why attempts are stopped that began on an earlier incarnation of their worker.
+const reasonRestarted = "its worker has started again"
+
+// dropStale drops the attempts and sessions of incarnations of workers that have ended. Attempts that the domain has
+// moved to a later incarnation are stopped there.
 func (l *Leader) dropStale(now Time) {
+	var moved []*attemptState
 	for id, a := range l.attempts {
 		j := l.state.Job(id.Job)
-		if j == nil || !j.Task(id).Assigned() || j.Task(id).Worker != a.incarnation {
-			l.noteLost(now, a, "worker_gone")
-			l.forgetAttempt(id)
+		if j != nil && j.Task(id).Worker == a.incarnation {
+			continue
 		}
+		l.noteLost(now, a, "worker_gone")
+		l.forgetAttempt(id)
+		if j != nil && j.Task(id).Moved && j.Task(id).Attempt == a.number {
+			m := l.adopt(id, a.number, j.Task(id).Worker, now)
+			m.checkpoint = a.checkpoint
+			moved = append(moved, m)
+		}
+	}
+	for _, a := range moved {
+		l.abandon(a, reasonRestarted)
 	}
 	l.workersChanged = true
 	for id, s := range l.sessions {
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -1,12 +1,15 @@
 package dispatch_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
 	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/simworker"
 )
 
 var _ = DescribeTable("a worker that was forgotten and registers again still holds its earlier lease", func(newLeader bool) {
@@ -34,3 +37,38 @@
 	Entry("under the same leader", false),
 	Entry("under the next leader", true),
 )
+
+// lateCall makes a call be carried out after a delay, unanswered, by the incarnation that has its worker's identifier
+// then.
+func (w *world) lateCall(c dispatch.Call, delay time.Duration) {
+	w.at(w.now+delay, func() {
+		i := slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Incarnation.ID == c.Worker.ID })
+		if i >= 0 && !w.cutOff[c.Worker.ID] {
+			w.workers[i].Call(w.now, c)
+		}
+	})
+}
+
+var _ = Describe("a worker that comes back", func() {
+	DescribeTable("under its identifier runs no late start of its earlier incarnation beside another attempt",
+		func(late time.Duration) {
+			w := newWorld(1, 2)
+			w.run(time.Second)
+			w.lateStart = late
+			w.submit(domain.JobSpec{ID: "j", Payload: "work=30000", Steps: []domain.Step{step(1, 1)}})
+			w.run(1200 * time.Millisecond)
+			first := w.stateMachine.Job("j").Task(domain.TaskID{Job: "j"})
+			Expect(first.Attempt).To(Equal(1))
+			victim := first.Worker.ID
+			w.replaceWorker(w.worker(victim), 0) // It is back two seconds later.
+			// Makes the task start on the other worker.
+			w.commit(&domain.Command{Zone: &domain.SetZone{Zone: w.stateMachine.Worker(victim).Zone, Out: true}})
+			w.run(20 * time.Second)
+			Expect(w.starts).To(BeNumerically(">", 0))
+			Expect(w.violations).To(BeEmpty())
+		},
+		Entry("that arrives when it has registered", 2500*time.Millisecond),
+		Entry("that arrives just before it registers", 2*time.Second),
+		Entry("that arrives later", 6*time.Second),
+	)
+})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -34,6 +34,7 @@
 	holdNow       bool          // A hold that is answered at once is to be sent.
 	failedInARow  int           // Consecutive failures that count against the worker.
 	avoidUntil    time.Duration // Until then, the worker gets no new attempts.
+	replaced      bool          // Another incarnation with its identifier has answered.
 	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
 	earlierLeaseEnd time.Duration
 	leaving         bool // The worker has announced its end; it is forgotten once it has no attempts.
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -35,6 +35,7 @@
 	gangs           *simworker.Gangs
 	cutOff          map[string]bool     // Workers that are partitioned from everything else.
 	lateShare       float64             // Share of calls, except holds, that are carried out 2 s to 12 s late, unanswered.
+	lateStart       time.Duration       // If not 0, the first start is carried out this much late, unanswered.
 	delayedCalls    map[string][]func() // Calls that a partition delays, by worker.
 	commitDelay     time.Duration       // Time until a proposal is applied.
 	log             func(event string, kv ...any)
@@ -268,14 +269,16 @@
 		lost()
 		return
 	}
+	if c.Kind == dispatch.CallStart && w.lateStart > 0 {
+		lost()
+		w.lateCall(c, w.lateStart)
+		w.lateStart = 0
+		return
+	}
 	if c.Kind != dispatch.CallHold && w.random.Float64() < w.lateShare {
 		lost()
 		late := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
-		w.at(w.now+late, func() {
-			if !s.Crashed() {
-				s.Call(w.now, c)
-			}
-		})
+		w.lateCall(c, late)
 		return
 	}
 	w.at(w.now+networkDelay, func() { w.answerCall(leader, s, c, w.now+c.Wait) })
--- a/internal/domain/apply_worker.go
+++ b/internal/domain/apply_worker.go
@@ -20,16 +20,26 @@
 	if !m.replaceAtAddress(w) {
 		return NotChanged
 	}
-	if old != nil {
-		m.clear(old.Incarnation)
-	}
 	added := *w
 	added.Cursor = 0
 	added.attempts = map[TaskID]int{}
+	if old != nil {
+		m.move(old, &added)
+	}
 	m.state.Workers[w.Incarnation.ID] = &added
 	return Applied
 }
 
+// move assigns the attempts of an incarnation that has ended to the one that replaces it under its identifier. A start
+// that is carried out late would reach that one, so the tasks do not wait for a new attempt yet.
+func (m *StateMachine) move(old, added *Worker) {
+	added.attempts, added.used = old.attempts, old.used
+	for id := range old.attempts {
+		t := m.state.Jobs[id.Job].Task(id)
+		t.Worker, t.Moved = added.Incarnation, true
+	}
+}
+
 // replaceAtAddress removes other workers that were registered at the address of a new one and started earlier. It
 // returns false if one of them started later: then the report of the new worker was delayed, and it no longer runs
 // there.
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -132,7 +132,7 @@
 			w.used = w.used.Minus(j.Spec.Steps[id.Step].Demand())
 		}
 	}
-	t.Worker = WorkerIncarnation{}
+	t.Worker, t.Moved = WorkerIncarnation{}, false
 }
 
 // indexConfig builds the lookup tables of the configuration in force.
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -233,16 +233,30 @@
 		Expect(f.start(id("j", 0))).To(Equal(domain.NotChanged))
 	})
 
-	It("clears a worker when a later incarnation replaces it, and ignores delayed reports of the earlier one", func() {
+	It("moves attempts to a later incarnation of their worker, and ignores delayed reports of the earlier one", func() {
 		f := newFixture()
 		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
 		f.start(id("j", 0))
+		free := f.Worker("w").Free()
 		f.do(domain.Command{Register: worker("w", 9, "10.0.0.1:80")})
-		Expect(f.Job("j").Task(id("j", 0)).Assigned()).To(BeFalse())
+		task := f.Job("j").Task(id("j", 0))
+		Expect(task.Moved).To(BeTrue())
+		Expect(task.Worker).To(Equal(f.Worker("w").Incarnation))
+		Expect(f.Worker("w").Attempts()).To(Equal(map[domain.TaskID]int{id("j", 0): 1}))
+		Expect(f.Worker("w").Free()).To(Equal(free))
 		Expect(f.do(domain.Command{Register: worker("w", 5, "10.0.0.1:80")})).To(Equal(domain.NotChanged))
+		f.end(id("j", 0), 1, domain.OutcomeAbsent, "")
+		Expect(task.Assigned()).To(BeTrue(), "the earlier incarnation has nothing to tell any more")
+		f.incarnation.BornMS = 9
+		Expect(f.start(id("j", 0))).To(Equal(domain.NotChanged))
+		f.end(id("j", 0), 1, domain.OutcomeAbsent, "")
+		Expect(task.Assigned() || task.Moved).To(BeFalse())
+		Expect(f.start(id("j", 0))).To(Equal(domain.Applied))
+		Expect(task.Moved).To(BeFalse())
 		Expect(f.Worker("w").Incarnation.BornMS).To(Equal(int64(9)))
 		f.do(domain.Command{Register: worker("x", 12, "10.0.0.1:80")})
 		Expect(f.Worker("w")).To(BeNil(), "another worker has taken over its address")
+		Expect(task.Assigned()).To(BeFalse())
 		Expect(f.do(domain.Command{Register: worker("w", 9, "10.0.0.1:80")})).To(Equal(domain.NotChanged))
 	})
 
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -226,6 +226,9 @@
 	// LostAttempts lists the newest attempts that ended with OutcomeLost. Their worker may answer again later, and then
 	// report one of them as done.
 	LostAttempts []int `cbor:"9,keyasint,omitempty"`
+	// Moved is set if the newest attempt began on an earlier incarnation of its worker. A late start could still begin it
+	// on the present one, which is to reject it before the task may start elsewhere.
+	Moved bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Assigned reports whether an attempt of the task may be present on a worker.
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -182,7 +182,10 @@
 // Call executes a call to the worker.
 func (w *Worker) Call(now time.Duration, c dispatch.Call) dispatch.Reply {
 	w.Advance(now)
-	r := dispatch.Reply{Status: dispatch.OK, ClockMS: w.Clock(now), BornMS: w.Incarnation.BornMS}
+	r := dispatch.Reply{Status: dispatch.OK, ClockMS: w.Clock(now)}
+	if c.Kind == dispatch.CallHold { // Only lists tell the start of the incarnation.
+		r.BornMS = w.Incarnation.BornMS
+	}
 	if c.Worker.ID != w.Incarnation.ID {
 		return dispatch.Reply{Status: dispatch.OtherIncarnation, BornMS: w.Incarnation.BornMS}
 	}
