dispatch: a worker that lists an attempt that it should not have gets no start until it has ended

Such an attempt is stopped, which takes up to 900 ms, but its room counted as free at once: the worker was overcommitted by the next start. Now the worker gets no attempts and no starts while its newest lists show one.

A list that a newer answer overtook, by the worker's clock, shows attempts whose ends may be committed; it was logged as attempt_unknown and the attempts were stopped again. It is no longer taken for a sign of unknown attempts.

The model of a worker can take time for a stop.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -26,7 +26,7 @@
 		case a.stopWanted && !a.stopConfirmed:
 			a.callsInFlight++
 			l.sendCall(now, w, Call{Kind: CallStop, Task: id, Attempt: a.number})
-		case !a.stopWanted && !a.startConfirmed && s.hasClock && !s.silent(now.Mono):
+		case !a.stopWanted && !a.startConfirmed && s.hasClock && s.unknown == 0 && !s.silent(now.Mono):
 			l.sendStart(now, w, s, a)
 		}
 	}
@@ -109,7 +109,7 @@
 			l.sendHold(now, w, s, 0)
 		case busy && l.shared(w):
 			l.sendHold(now, w, s, sharedHoldWait)
-		case busy:
+		case busy, s.unknown > 0: // It is answered when an attempt ends.
 			l.sendHold(now, w, s, holdWait)
 		case unacked:
 			l.sendHold(now, w, s, 0)
@@ -279,9 +279,18 @@
 		return
 	}
 	listed := map[domain.TaskID]int{}
+	unknown := 0
+	overtaken := r.ClockMS != 0 && r.ClockMS < s.listClockMS // Attempts in it may have ended, and the ends be committed.
 	for _, t := range r.Running {
 		listed[t.Task] = t.Attempt
-		l.sawRunning(now, w, s, t)
+		if !l.sawRunning(now, s, t) && !overtaken {
+			unknown++
+			l.noteUnknown(s, t)
+			l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	if !overtaken {
+		s.listClockMS, s.unknown = r.ClockMS, unknown
 	}
 	l.adjustPace(now, w)
 	ends := l.newEnds(now, w, s, r, listed)
@@ -299,14 +308,12 @@
 	l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Cursor: cursor, Ends: ends}})
 }
 
-// sawRunning updates an attempt that a worker lists as running, or stops it if the domain has no such attempt on this
-// worker.
-func (l *Leader) sawRunning(now Time, w *domain.Worker, s *session, t RunningTask) {
+// sawRunning updates an attempt that a worker lists as running. It returns false if the domain has no such attempt on
+// this worker.
+func (l *Leader) sawRunning(now Time, s *session, t RunningTask) bool {
 	a := l.attempts[t.Task]
 	if a == nil || a.number != t.Attempt || a.incarnation != s.incarnation {
-		l.noteUnknown(s, t)
-		l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
-		return
+		return false
 	}
 	if !a.startConfirmed {
 		a.startConfirmed, a.confirmedAt = true, now.Mono
@@ -319,6 +326,7 @@
 	if t.Checkpoint != "" {
 		a.checkpoint = t.Checkpoint
 	}
+	return true
 }
 
 // noteUnknown logs and counts an attempt that a worker lists as running although the domain does not place it there.
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -72,3 +72,70 @@
 		Entry("that arrives later", 6*time.Second),
 	)
 })
+
+// startUnknown makes a worker run an attempt that the domain does not place there.
+func (w *world) startUnknown(s *simworker.Worker, accelerators int64) {
+	nowhere := step(1, accelerators)
+	nowhere.Label = "no such worker"
+	w.submit(domain.JobSpec{ID: "unknown", Payload: "work=60000", Steps: []domain.Step{nowhere}})
+	w.run(w.now + 20*time.Millisecond)
+	r := s.Call(w.now, dispatch.Call{Kind: dispatch.CallStart, Worker: s.Incarnation, FencingToken: w.term, Task: domain.TaskID{Job: "unknown"},
+		Attempt: 1, UntilMS: s.Clock(w.now) + simworker.MaxLease.Milliseconds(), Payload: "work=60000"})
+	Expect(r.Status).To(Equal(dispatch.OK))
+}
+
+var _ = Describe("a worker that lists an attempt that it should not have", func() {
+	DescribeTable("gets no start until it has ended", func(busy bool) {
+		w := newWorld(1, 1)
+		w.workers[0].StopTime = 900 * time.Millisecond
+		w.run(time.Second)
+		if busy {
+			w.submit(domain.JobSpec{ID: "busy", Payload: "work=60000", Steps: []domain.Step{step(1, 1)}})
+			w.run(1500 * time.Millisecond)
+		}
+		seen := false
+		w.log = func(event string, _ ...any) { seen = seen || event == "attempt_unknown" }
+		w.startUnknown(w.workers[0], 7)
+		if !busy {
+			w.elect() // It asks idle workers too.
+		}
+		for !seen && w.now < 5*time.Second {
+			w.run(w.now + tickEvery)
+		}
+		Expect(seen).To(BeTrue())
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=500", Steps: []domain.Step{step(1, 4)}})
+		w.run(w.now + 2*time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	},
+		Entry("if it runs others", true),
+		Entry("if it runs nothing else", false),
+	)
+
+	It("is used at once if the list was overtaken by a newer one", func() {
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		delayed := false
+		w.answerDelay = func(c dispatch.Call, r dispatch.Reply) time.Duration {
+			if delayed || c.Kind != dispatch.CallHold || c.Wait > 0 || len(r.Running) == 0 {
+				return 0
+			}
+			delayed = true
+			return 700 * time.Millisecond
+		}
+		var unknownAt time.Duration
+		w.log = func(event string, _ ...any) {
+			if event == "attempt_unknown" {
+				unknownAt = w.now
+			}
+		}
+		w.submit(domain.JobSpec{ID: "first", Payload: "work=500", Steps: []domain.Step{step(1, 1)}})
+		w.run(1740 * time.Millisecond) // The list arrives at about 1.73 s.
+		Expect(delayed).To(BeTrue())
+		Expect(w.state("first")).To(Equal(domain.JobCompleted))
+		Expect(unknownAt).To(BeZero())
+		w.submit(domain.JobSpec{ID: "second", Payload: "work=100", Steps: []domain.Step{step(1, 1)}})
+		w.run(1800 * time.Millisecond)
+		Expect(w.starts).To(Equal(2))
+	})
+})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -34,6 +34,8 @@
 	holdNow       bool          // A hold that is answered at once is to be sent.
 	failedInARow  int           // Consecutive failures that count against the worker.
 	avoidUntil    time.Duration // Until then, the worker gets no new attempts.
+	listClockMS   int64         // The worker's clock at its newest lists.
+	unknown       int           // Attempts in its newest lists that the domain does not place there; while there are any, it gets no starts.
 	replaced      bool          // Another incarnation with its identifier has answered.
 	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
 	earlierLeaseEnd time.Duration
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -33,11 +33,12 @@
 	term            uint64
 	workers         []*simworker.Worker
 	gangs           *simworker.Gangs
-	cutOff          map[string]bool     // Workers that are partitioned from everything else.
-	lateShare       float64             // Share of calls, except holds, that are carried out 2 s to 12 s late, unanswered.
-	lateStart       time.Duration       // If not 0, the first start is carried out this much late, unanswered.
-	delayedCalls    map[string][]func() // Calls that a partition delays, by worker.
-	commitDelay     time.Duration       // Time until a proposal is applied.
+	cutOff          map[string]bool                                   // Workers that are partitioned from everything else.
+	lateShare       float64                                           // Share of calls, except holds, that are carried out 2 s to 12 s late, unanswered.
+	lateStart       time.Duration                                     // If not 0, the first start is carried out this much late, unanswered.
+	answerDelay     func(dispatch.Call, dispatch.Reply) time.Duration // How much an answer is late.
+	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
+	commitDelay     time.Duration                                     // Time until a proposal is applied.
 	log             func(event string, kv ...any)
 	onLoss          func() // Called when a command that declares attempts lost is proposed.
 	queue           events
@@ -61,7 +62,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), stateMachine: domain.New(), gangs: simworker.NewGangs(), cutOff: map[string]bool{},
 		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commitDelay: usualCommitDelay, delayedCalls: map[string][]func(){}, onLoss: func() {},
-		log: func(string, ...any) {},
+		log: func(string, ...any) {}, answerDelay: func(dispatch.Call, dispatch.Reply) time.Duration { return 0 },
 	}
 	w.gangs.OnEvent = w.observe
 	config := &domain.Config{Version: 1, Document: []byte("{}"), Pools: []domain.Pool{{Name: "pool"}},
@@ -303,7 +304,7 @@
 		w.at(w.now+callTimeout, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.NoAnswer}) })
 		return
 	}
-	w.at(w.now+networkDelay, func() { w.reply(leader, c, r) })
+	w.at(w.now+networkDelay+w.answerDelay(c, r), func() { w.reply(leader, c, r) })
 }
 
 // heal ends the partition of a worker and delivers the calls that it delayed.
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -101,16 +101,18 @@
 	started     time.Duration
 	restored    time.Duration // Work covered by the checkpoint from which the attempt continues.
 	pacePercent int           // Percentage of its time for which a best-effort attempt works.
+	stopped     time.Duration // When it was stopped, 0 if it was not.
 }
 
 // Worker is one incarnation of a worker, from its start to its crash.
 type Worker struct {
 	Incarnation    domain.WorkerIncarnation
 	Capacity       domain.Resources
-	ClockRate      float64 // Rate of the worker's clock relative to real time.
-	FailAttempts   bool    // All attempts fail immediately.
-	StallAttempts  bool    // Attempts make no progress.
-	RequiredTicket string  // Ticket that a start must have, empty for none.
+	ClockRate      float64       // Rate of the worker's clock relative to real time.
+	FailAttempts   bool          // All attempts fail immediately.
+	StallAttempts  bool          // Attempts make no progress.
+	RequiredTicket string        // Ticket that a start must have, empty for none.
+	StopTime       time.Duration // How long a stopped attempt takes to end. Until then it is listed as running.
 	crashed        bool
 	gangs          *Gangs
 	born           time.Duration // When the incarnation started.
@@ -153,6 +155,10 @@
 func (w *Worker) advance(now time.Duration, a *attempt) {
 	g := w.gangs.groups[a.key()]
 	switch {
+	case a.stopped > 0:
+		if now-a.stopped >= w.StopTime {
+			w.end(now, a, domain.OutcomeStopped)
+		}
 	case a.program.GangSize > 1 && !g.complete:
 		if now-a.started >= GangWait {
 			w.end(now, a, domain.OutcomeGangTimeout)
@@ -207,8 +213,9 @@
 		}
 	case dispatch.CallStop:
 		w.highestEnded[c.Task] = max(w.highestEnded[c.Task], c.Attempt)
-		if a := w.running[c.Task]; a != nil && a.number <= c.Attempt {
-			w.end(now, a, domain.OutcomeStopped)
+		if a := w.running[c.Task]; a != nil && a.number <= c.Attempt && a.stopped == 0 {
+			a.stopped = now
+			w.Advance(now)
 		}
 	}
 	return r
