--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -26,7 +26,7 @@
 		case a.stopWanted && !a.stopConfirmed:
 			a.callsInFlight++
 			l.sendCall(now, w, Call{Kind: CallStop, Task: id, Attempt: a.number})
-		case !a.stopWanted && !a.startConfirmed && s.hasClock && !s.silent(now.Mono):
+		case !a.stopWanted && !a.startConfirmed && s.hasClock && s.unknown == 0 && !s.silent(now.Mono):
 			l.sendStart(now, w, s, a)
 		}
 	}
@@ -109,7 +109,7 @@
 			l.sendHold(now, w, s, 0)
 		case busy && l.shared(w):
 			l.sendHold(now, w, s, sharedHoldWait)
-		case busy:
+		case busy, s.unknown > 0: // It is answered when an attempt ends.
 			l.sendHold(now, w, s, holdWait)
 		case unacked:
 			l.sendHold(now, w, s, 0)
@@ -153,10 +153,15 @@
 	default:
 		a.callsInFlight--
 	}
-	if r.Status == OtherIncarnation || (r.BornMS != 0 && s.incarnation.BornMS != 0 && r.BornMS != s.incarnation.BornMS) {
+	if r.Status == OtherIncarnation {
 		l.incarnationOver(now, s)
 		return
 	}
+	if r.BornMS != 0 && s.incarnation.BornMS != 0 && r.BornMS != s.incarnation.BornMS {
+		l.incarnationReplaced(now, s)
+		l.unanswered(now, s, a)
+		return
+	}
 	if r.Status == NoAnswer {
 		l.unanswered(now, s, a)
 		return
@@ -183,6 +188,24 @@
 	l.forget(now, s)
 }
 
+// incarnationReplaced handles an answer of another incarnation with the same identifier. It could also carry out starts
+// that were meant for this one, so the attempts are kept until that one registers, and stopped there.
+func (l *Leader) incarnationReplaced(now Time, s *session) {
+	if w := l.state.Worker(s.incarnation.ID); w == nil || len(w.Attempts()) == 0 {
+		l.incarnationOver(now, s)
+		return
+	}
+	if !s.replaced {
+		s.replaced = true
+		l.options.Log("worker_life_over", "worker", s.incarnation.ID, "born_ms", s.incarnation.BornMS)
+	}
+	for _, a := range l.attempts {
+		if a.incarnation == s.incarnation {
+			l.abandon(a, reasonRestarted)
+		}
+	}
+}
+
 // unanswered schedules the retry of a call that was not answered.
 func (l *Leader) unanswered(now Time, s *session, a *attemptState) {
 	s.failures++
@@ -256,9 +279,18 @@
 		return
 	}
 	listed := map[domain.TaskID]int{}
+	unknown := 0
+	overtaken := r.ClockMS != 0 && r.ClockMS < s.listClockMS // Attempts in it may have ended, and the ends be committed.
 	for _, t := range r.Running {
 		listed[t.Task] = t.Attempt
-		l.sawRunning(now, w, s, t)
+		if !l.sawRunning(now, s, t) && !overtaken {
+			unknown++
+			l.noteUnknown(s, t)
+			l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	if !overtaken {
+		s.listClockMS, s.unknown = r.ClockMS, unknown
 	}
 	l.adjustPace(now, w)
 	ends := l.newEnds(now, w, s, r, listed)
@@ -276,14 +308,12 @@
 	l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Cursor: cursor, Ends: ends}})
 }
 
-// sawRunning updates an attempt that a worker lists as running, or stops it if the domain has no such attempt on this
-// worker.
-func (l *Leader) sawRunning(now Time, w *domain.Worker, s *session, t RunningTask) {
+// sawRunning updates an attempt that a worker lists as running. It returns false if the domain has no such attempt on
+// this worker.
+func (l *Leader) sawRunning(now Time, s *session, t RunningTask) bool {
 	a := l.attempts[t.Task]
 	if a == nil || a.number != t.Attempt || a.incarnation != s.incarnation {
-		l.noteUnknown(s, t)
-		l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
-		return
+		return false
 	}
 	if !a.startConfirmed {
 		a.startConfirmed, a.confirmedAt = true, now.Mono
@@ -296,6 +326,7 @@
 	if t.Checkpoint != "" {
 		a.checkpoint = t.Checkpoint
 	}
+	return true
 }
 
 // noteUnknown logs and counts an attempt that a worker lists as running although the domain does not place it there.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -286,8 +286,8 @@
 // usable tells whether new attempts may go to a worker.
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Incarnation.ID]
-	return s != nil && s.incarnation == w.Incarnation && !s.forgetInFlight && !s.leaving && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
-		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil && l.heardFrom(now, s)
+	return s != nil && s.incarnation == w.Incarnation && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
+		!s.ending() && s.unknown == 0 && s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil && l.heardFrom(now, s)
 }
 
 // heardFrom tells whether a worker has answered or reported in time.
--- /dev/null
+++ b/internal/dispatch/restart_test.go
@@ -0,0 +1,141 @@
+package dispatch_test
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/simworker"
+)
+
+var _ = DescribeTable("a worker that was forgotten and registers again still holds its earlier lease", func(newLeader bool) {
+	w := newWorld(1, 2)
+	w.run(time.Second)
+	w.submit(domain.JobSpec{ID: "before", Payload: "work=500", Steps: []domain.Step{step(2, 8)}})
+	w.run(2 * time.Second)
+	Expect(w.state("before")).To(Equal(domain.JobCompleted))
+	for _, s := range w.workers {
+		w.leader.WorkerLeaves(w.time(), s.Incarnation)
+	}
+	w.run(2100 * time.Millisecond)
+	Expect(w.stateMachine.Workers()).To(BeEmpty())
+	if newLeader {
+		w.elect()
+	}
+	w.run(4 * time.Second) // A report registers each again.
+	Expect(w.stateMachine.Workers()).To(HaveLen(2))
+	w.submit(domain.JobSpec{ID: "j", Payload: "work=30000", Steps: []domain.Step{step(1, 8)}})
+	cutAfterStart(w, 3)
+	w.run(20 * time.Second)
+	Expect(w.starts).To(Equal(4), "started again once the lease is over")
+	Expect(w.violations).To(BeEmpty())
+},
+	Entry("under the same leader", false),
+	Entry("under the next leader", true),
+)
+
+// lateCall makes a call be carried out after a delay, unanswered, by the incarnation that has its worker's identifier
+// then.
+func (w *world) lateCall(c dispatch.Call, delay time.Duration) {
+	w.at(w.now+delay, func() {
+		i := slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Incarnation.ID == c.Worker.ID })
+		if i >= 0 && !w.cutOff[c.Worker.ID] {
+			w.workers[i].Call(w.now, c)
+		}
+	})
+}
+
+var _ = Describe("a worker that comes back", func() {
+	DescribeTable("under its identifier runs no late start of its earlier incarnation beside another attempt",
+		func(late time.Duration) {
+			w := newWorld(1, 2)
+			w.run(time.Second)
+			w.lateStart = late
+			w.submit(domain.JobSpec{ID: "j", Payload: "work=30000", Steps: []domain.Step{step(1, 1)}})
+			w.run(1200 * time.Millisecond)
+			first := w.stateMachine.Job("j").Task(domain.TaskID{Job: "j"})
+			Expect(first.Attempt).To(Equal(1))
+			victim := first.Worker.ID
+			w.replaceWorker(w.worker(victim), 0) // It is back two seconds later.
+			// Makes the task start on the other worker.
+			w.commit(&domain.Command{Zone: &domain.SetZone{Zone: w.stateMachine.Worker(victim).Zone, Out: true}})
+			w.run(20 * time.Second)
+			Expect(w.starts).To(BeNumerically(">", 0))
+			Expect(w.violations).To(BeEmpty())
+		},
+		Entry("that arrives when it has registered", 2500*time.Millisecond),
+		Entry("that arrives just before it registers", 2*time.Second),
+		Entry("that arrives later", 6*time.Second),
+	)
+})
+
+// startUnknown makes a worker run an attempt that the domain does not place there.
+func (w *world) startUnknown(s *simworker.Worker, accelerators int64) {
+	nowhere := step(1, accelerators)
+	nowhere.Label = "no such worker"
+	w.submit(domain.JobSpec{ID: "unknown", Payload: "work=60000", Steps: []domain.Step{nowhere}})
+	w.run(w.now + 20*time.Millisecond)
+	r := s.Call(w.now, dispatch.Call{Kind: dispatch.CallStart, Worker: s.Incarnation, FencingToken: w.term, Task: domain.TaskID{Job: "unknown"},
+		Attempt: 1, UntilMS: s.Clock(w.now) + simworker.MaxLease.Milliseconds(), Payload: "work=60000"})
+	Expect(r.Status).To(Equal(dispatch.OK))
+}
+
+var _ = Describe("a worker that lists an attempt that it should not have", func() {
+	DescribeTable("gets no start until it has ended", func(busy bool) {
+		w := newWorld(1, 1)
+		w.workers[0].StopTime = 900 * time.Millisecond
+		w.run(time.Second)
+		if busy {
+			w.submit(domain.JobSpec{ID: "busy", Payload: "work=60000", Steps: []domain.Step{step(1, 1)}})
+			w.run(1500 * time.Millisecond)
+		}
+		seen := false
+		w.log = func(event string, _ ...any) { seen = seen || event == "attempt_unknown" }
+		w.startUnknown(w.workers[0], 7)
+		if !busy {
+			w.elect() // It asks idle workers too.
+		}
+		for !seen && w.now < 5*time.Second {
+			w.run(w.now + tickEvery)
+		}
+		Expect(seen).To(BeTrue())
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=500", Steps: []domain.Step{step(1, 4)}})
+		w.run(w.now + 2*time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	},
+		Entry("if it runs others", true),
+		Entry("if it runs nothing else", false),
+	)
+
+	It("is used at once if the list was overtaken by a newer one", func() {
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		delayed := false
+		w.answerDelay = func(c dispatch.Call, r dispatch.Reply) time.Duration {
+			if delayed || c.Kind != dispatch.CallHold || c.Wait > 0 || len(r.Running) == 0 {
+				return 0
+			}
+			delayed = true
+			return 700 * time.Millisecond
+		}
+		var unknownAt time.Duration
+		w.log = func(event string, _ ...any) {
+			if event == "attempt_unknown" {
+				unknownAt = w.now
+			}
+		}
+		w.submit(domain.JobSpec{ID: "first", Payload: "work=500", Steps: []domain.Step{step(1, 1)}})
+		w.run(1740 * time.Millisecond) // The list arrives at about 1.73 s.
+		Expect(delayed).To(BeTrue())
+		Expect(w.state("first")).To(Equal(domain.JobCompleted))
+		Expect(unknownAt).To(BeZero())
+		w.submit(domain.JobSpec{ID: "second", Payload: "work=100", Steps: []domain.Step{step(1, 1)}})
+		w.run(1800 * time.Millisecond)
+		Expect(w.starts).To(Equal(2))
+	})
+})
