soak: play departures, late calls, one-way cuts around a change of leader, and series of signals

The workers now leave (planned, at short notice, with the acknowledgement lost), carry out calls 2 s to 12 s late without an answer, take up to 900 ms to stop, and restart behind cuts. The checker sees each start, end and acknowledged end: two runs at once, a start after an acknowledged end as done, and a worker over its capacity. A process that ends by itself is a violation, and stalls of the machine are logged.

--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -10,9 +10,9 @@
 // Client submits jobs, with retries at other hosts, and asks for their state.
 type Client struct {
 	FrontAddresses []string
-	Host           string // Value of the Host header.
-	Key            string // API key.
-	client         http.Client
+	Host           string            // Value of the Host header.
+	Key            string            // API key.
+	Transport      http.RoundTripper // Holds the connections; nil for those that all such clients share.
 }
 
 // Step is a step of a job.
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	header := map[string]string{"Host": c.Host, "Api-Key": c.Key, "Content-Type": "application/json", "X-Request-Deadline": "3000"}
-	return call(ctx, &c.client, method, "http://"+c.FrontAddresses[front%len(c.FrontAddresses)]+path, body, header)
+	return call(ctx, &http.Client{Transport: c.Transport}, method, "http://"+c.FrontAddresses[front%len(c.FrontAddresses)]+path, body, header)
 }
 
 // Submit sends a job until it is accepted, refused with a status that makes a retry useless, or ctx ends. It returns
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,10 +1,7 @@
 package soak
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -14,28 +11,32 @@
 	"github.com/mustardwalk/mustardwalk/internal/standin/fleet"
 )
 
-// Names in the configuration and in the requests of clients.
-const (
-	service    = "svc"
-	hostName   = "svc.example"
-	apiKey     = "key1"
-	pathPrefix = "/q/"
-)
-
 // configApplyLimit is how long after the acknowledgement of a configuration a host may still answer with an older one.
 // All hosts must have applied the configuration by then.
 const configApplyLimit = 2 * time.Second
 
-// checker sends the requests of callers and operators, and collects the violations of the requirements.
+// checker observes workers, callers and operators, and collects the violations of the requirements.
 type checker struct {
 	parent *run
 
 	mu            sync.Mutex
 	violationList []string
-	jobs          map[string]submitResult           // By job identifier.
-	running       map[domain.TaskID]simworker.Event // Start of the attempt that runs, by task.
-	completed     map[domain.JobID]bool             // Jobs that a caller saw as completed.
-	acked         []ackedConfig                     // Configurations that a host acknowledged.
+	starts        int
+	jobs          map[domain.JobID]*job
+	running       map[domain.TaskID][]simworker.Event                   // Starts of the attempts that run, by task.
+	onWorker      map[domain.WorkerIncarnation]map[simworker.Event]bool // Starts of the attempts that run, by worker.
+	done          map[domain.TaskID][]*doneEnd                          // By doneKey.
+	acked         []ackedConfig                                         // Configurations that a host acknowledged.
+}
+
+// job is what the callers know of a job.
+type job struct {
+	path      string
+	demand    domain.Resources // Of each task.
+	gang      bool
+	result    submitResult
+	cancelled bool // A caller has asked to cancel it.
+	completed bool // A caller saw it as completed.
 }
 
 // submitResult is what a caller knows of a job after it submitted it.
@@ -47,13 +48,23 @@
 	submitRefused               // The job must never start.
 )
 
+// doneEnd is the end of an attempt, or of all members of one attempt of a gang, as done.
+type doneEnd struct {
+	end          simworker.Event
+	acknowledged bool
+	later        []simworker.Event // Starts of the task, or of its gang, after that.
+}
+
 type ackedConfig struct {
 	version int64
 	at      time.Time
 }
 
 func newChecker(parent *run) *checker {
-	return &checker{parent: parent, jobs: map[string]submitResult{}, running: map[domain.TaskID]simworker.Event{}, completed: map[domain.JobID]bool{}}
+	return &checker{
+		parent: parent, jobs: map[domain.JobID]*job{}, running: map[domain.TaskID][]simworker.Event{},
+		onWorker: map[domain.WorkerIncarnation]map[simworker.Event]bool{}, done: map[domain.TaskID][]*doneEnd{},
+	}
 }
 
 func (c *checker) addViolation(format string, args ...any) {
@@ -63,7 +74,9 @@
 }
 
 func (c *checker) addViolationLocked(format string, args ...any) {
-	c.violationList = append(c.violationList, fmt.Sprintf("%.3f: ", time.Since(c.parent.start).Seconds())+fmt.Sprintf(format, args...))
+	text := fmt.Sprintf(format, args...)
+	c.violationList = append(c.violationList, fmt.Sprintf("%.3f: ", time.Since(c.parent.start).Seconds())+text)
+	c.parent.logEvent("VIOLATION %s", text)
 }
 
 func (c *checker) violations() []string {
@@ -76,148 +89,111 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for _, result := range c.jobs {
-		if result == submitAccepted {
+	for _, j := range c.jobs {
+		if j.result == submitAccepted {
 			n++
 		}
 	}
 	return n
 }
 
-// observe checks an event of a worker: a start must not overlap another attempt of the task, and its job must be
-// neither refused nor completed.
+// doneKey returns the task under which the ends of a task as done are kept: for the tasks of a gang it is the same, since
+// the end of one represents all.
+func (c *checker) doneKey(id domain.TaskID) domain.TaskID {
+	if j := c.jobs[id.Job]; j != nil && j.gang {
+		id.Index = 0
+	}
+	return id
+}
+
+// observe checks the start or the end of an attempt.
 func (c *checker) observe(e simworker.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !e.Start {
-		if r, runs := c.running[e.Task]; runs && r.Worker == e.Worker && r.Attempt == e.Attempt {
-			delete(c.running, e.Task)
-		}
+	if e.Start {
+		c.parent.logEvent("start worker=%s task=%s attempt=%d", e.Worker.ID, e.Task, e.Attempt)
+		c.starts++
+		c.checkStart(e)
 		return
 	}
-	if r, runs := c.running[e.Task]; runs {
-		c.addViolationLocked("task %s attempt %d started on %s while attempt %d runs on %s", e.Task, e.Attempt, e.Worker.ID, r.Attempt, r.Worker.ID)
-	}
-	if c.jobs[string(e.Task.Job)] == submitRefused {
-		c.addViolationLocked("task %s started, though its job was refused", e.Task)
-	}
-	if c.completed[e.Task.Job] {
-		c.addViolationLocked("task %s started after its job was reported as completed", e.Task)
-	}
-	c.running[e.Task] = e
-}
-
-// submitJobs submits a job every 150 ms until ctx ends, and waits until all submissions have ended.
-func (c *checker) submitJobs(ctx context.Context) {
-	client := c.client()
-	var all sync.WaitGroup
-	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprintf("%016x", uint64(n+1)<<16|c.parent.options.Seed)
-		tasks := 1 + n%4
-		spec := fmt.Sprintf("work=%d gang=%d", 200+n%7*400, tasks)
-		body := fleet.JobBody(spec, fleet.Step{"count": tasks, "cpu": 1000, "mem_mb": 100, "gpus": 1 + n%3, "gang": tasks > 1, "est_runtime_ms": 1000})
-		all.Go(func() { c.submit(ctx, client, n, id, body) })
-		time.Sleep(150 * time.Millisecond)
-	}
-	all.Wait()
-}
-
-func (c *checker) client() *fleet.Client {
-	return &fleet.Client{FrontAddresses: c.parent.frontAddresses(), Host: hostName, Key: apiKey}
-}
-
-// submit submits a job up to four times. The job counts as refused only if each try was answered with a refusal; after
-// any other answer, or none, it may have been accepted.
-func (c *checker) submit(ctx context.Context, client *fleet.Client, n int, id string, body []byte) {
-	result := submitRefused
-	for try := range 4 {
-		status, _ := client.Once(context.WithoutCancel(ctx), n+try, http.MethodPost, pathPrefix+id, body)
-		switch status {
-		case http.StatusOK:
-			result = submitAccepted
-		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		case http.StatusNotFound, http.StatusUnauthorized:
-			c.addViolation("job %s was answered with status %d though its queue and key are in force", id, status)
-		default:
-			result = submitUnknown
+	c.parent.logEvent("end worker=%s task=%s attempt=%d outcome=%s", e.Worker.ID, e.Task, e.Attempt, e.Outcome)
+	c.running[e.Task] = slices.DeleteFunc(c.running[e.Task], func(r simworker.Event) bool { return sameAttempt(r, e) })
+	for r := range c.onWorker[e.Worker] {
+		if sameAttempt(r, e) {
+			delete(c.onWorker[e.Worker], r)
 		}
-		if result == submitAccepted {
-			break
-		}
-		time.Sleep(300 * time.Millisecond)
 	}
-	c.mu.Lock()
-	c.jobs[id] = result
-	c.mu.Unlock()
-}
-
-// changeConfigs changes the configuration until ctx ends, and reads it from each host after each change.
-func (c *checker) changeConfigs(ctx context.Context) {
-	op := &fleet.Operator{ControlAddresses: c.parent.controlAddresses()}
-	for version := int64(1); ctx.Err() == nil; version++ {
-		body := fleet.ConfigBody(version, hostName, service, []fleet.QueueRoute{{Prefix: pathPrefix, Priority: 1, Attempts: 20}}, apiKey)
-		if op.Send(ctx, http.MethodPut, "/config", body) == http.StatusOK {
-			c.mu.Lock()
-			c.acked = append(c.acked, ackedConfig{version, time.Now()})
-			c.mu.Unlock()
+	if e.Outcome == domain.OutcomeDone {
+		key := c.doneKey(e.Task)
+		if !slices.ContainsFunc(c.done[key], func(d *doneEnd) bool { return d.end.Attempt == e.Attempt }) {
+			c.done[key] = append(c.done[key], &doneEnd{end: e})
 		}
-		for i := range 3 {
-			c.readConfig(ctx, op, i)
-		}
-		time.Sleep(700 * time.Millisecond)
 	}
 }
 
-func (c *checker) readConfig(ctx context.Context, op *fleet.Operator, host int) {
-	sent := time.Now()
-	status, data := op.Once(ctx, host, http.MethodGet, "/config", nil)
-	if status != http.StatusOK {
-		return
+func sameAttempt(a, b simworker.Event) bool {
+	return a.Worker == b.Worker && a.Task == b.Task && a.Attempt == b.Attempt
+}
+
+// checkStart checks that an attempt neither overlaps another one of its task nor follows the end of one as done, that its
+// job is neither refused nor completed, and that its worker has room for it. What a worker is stopping still takes room.
+func (c *checker) checkStart(e simworker.Event) {
+	for _, r := range c.running[e.Task] {
+		c.addViolationLocked("TWICE task %s attempt %d started on %s while attempt %d runs on %s", e.Task, e.Attempt, e.Worker.ID, r.Attempt, r.Worker.ID)
 	}
-	var read struct {
-		Version int64 `json:"version"`
+	for _, d := range c.done[c.doneKey(e.Task)] {
+		d.later = append(d.later, e)
+		if d.acknowledged {
+			c.addStartAfterDone(e, d.end)
+		}
 	}
-	if err := json.Unmarshal(data, &read); err != nil {
-		c.addViolation("host %d answered with a configuration that cannot be decoded: %v", host, err)
+	j := c.jobs[e.Task.Job]
+	switch {
+	case j == nil:
+		c.addViolationLocked("task %s started, though no caller has submitted its job", e.Task)
 		return
+	case j.result == submitRefused:
+		c.addViolationLocked("task %s started, though its job was refused", e.Task)
+	case j.completed:
+		c.addViolationLocked("task %s started after its job was reported as completed", e.Task)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, a := range c.acked {
-		if sent.Sub(a.at) > configApplyLimit && read.Version < a.version {
-			c.addViolationLocked("host %d answered with version %d, %v after version %d was acknowledged", host, read.Version, sent.Sub(a.at), a.version)
-			return
-		}
+	if c.onWorker[e.Worker] == nil {
+		c.onWorker[e.Worker] = map[simworker.Event]bool{}
+	}
+	c.onWorker[e.Worker][e] = true
+	c.running[e.Task] = append(c.running[e.Task], e)
+	var used domain.Resources
+	for r := range c.onWorker[e.Worker] {
+		used = used.Plus(c.jobs[r.Task.Job].demand)
+	}
+	if !used.Fits(fleet.Capacity) {
+		c.addViolationLocked("LIMIT worker %s holds %+v since the start of task %s attempt %d", e.Worker.ID, used, e.Task, e.Attempt)
 	}
 }
 
-// awaitCompletion waits until all accepted jobs are completed, and adds a violation for each that is not completed
-// within the limit.
-func (c *checker) awaitCompletion(limit time.Duration) {
-	client := c.client()
-	deadline := time.Now().Add(limit)
-	open := map[string]string{}
+func (c *checker) addStartAfterDone(start, end simworker.Event) {
+	c.addViolationLocked("TWICE task %s attempt %d started on %s at %.3f, though attempt %d ended as done on %s at %.3f, which was acknowledged",
+		start.Task, start.Attempt, start.Worker.ID, start.At.Seconds(), end.Attempt, end.Worker.ID, end.At.Seconds())
+}
+
+// acknowledged notes that the end of an attempt was acknowledged to its worker. No attempt of a task may start after an
+// end as done that is acknowledged then or later.
+func (c *checker) acknowledged(e simworker.Event) {
 	c.mu.Lock()
-	for id, result := range c.jobs {
-		if result == submitAccepted {
-			open[id] = "not asked"
+	defer c.mu.Unlock()
+	c.parent.logEvent("ack worker=%s task=%s attempt=%d outcome=%s", e.Worker.ID, e.Task, e.Attempt, e.Outcome)
+	for _, d := range c.done[c.doneKey(e.Task)] {
+		if d.end.Attempt != e.Attempt || d.acknowledged {
+			continue
 		}
-	}
-	c.mu.Unlock()
-	for n := 0; len(open) > 0 && time.Now().Before(deadline); n++ {
-		for id := range open {
-			status, state := client.JobState(context.Background(), n, pathPrefix+id)
-			open[id] = fmt.Sprintf("%d %s", status, state)
-			if state == "completed" {
-				delete(open, id)
-				c.mu.Lock()
-				c.completed[domain.JobID(id)] = true
-				c.mu.Unlock()
-			}
+		d.acknowledged = true
+		for _, start := range d.later {
+			c.addStartAfterDone(start, d.end)
 		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	for id, last := range open {
-		c.addViolation("accepted job %s is not completed %v after the faults: %s", id, limit, last)
 	}
 }
+
+// duplicate notes the start of a second attempt of a task on the worker on which a lower one still runs.
+func (c *checker) duplicate(e simworker.Event) {
+	c.addViolation("TWICE task %s attempt %d was to start on %s, where a lower attempt still runs", e.Task, e.Attempt, e.Worker.ID)
+}
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -4,10 +4,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
-	"time"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"golang.org/x/sync/errgroup"
@@ -18,26 +21,44 @@
 func main() {
 	first := kingpin.Flag("first-seed", "First seed.").Default("1").Uint64()
 	seeds := kingpin.Flag("seeds", "Number of seeds.").Default("10").Int()
-	atOnce := kingpin.Flag("at-once", "Runs at the same time; each has five processes.").Default("4").Int()
-	faults := kingpin.Flag("faults", "How long faults go on in a run.").Default("30s").Duration()
+	atOnce := kingpin.Flag("at-once", "Runs at the same time; each has three core hosts and the entry hosts.").Default("4").Int()
 	folder := kingpin.Flag("folder", "For logs of runs that fail.").Default("soak-failures").String()
-	program := kingpin.Flag("program", "Path of mustardwalkd.").Default("bin/mustardwalkd").String()
+	var options soak.Options
+	kingpin.Flag("faults", "How long faults go on in a run.").Default("30s").DurationVar(&options.FaultDuration)
+	kingpin.Flag("completion", "How long accepted jobs may take to complete after the faults.").Default("40s").DurationVar(&options.CompletionLimit)
+	kingpin.Flag("program", "Path of mustardwalkd.").Default("bin/mustardwalkd").StringVar(&options.Program)
+	kingpin.Flag("entries", "Entry hosts of a run, each a process.").Default("2").IntVar(&options.Entries)
+	kingpin.Flag("workers", "Workers of a run.").Default("8").IntVar(&options.Workers)
+	kingpin.Flag("without", "Kind of fault that is not injected; may be repeated.").StringsVar(&options.Without)
 	kingpin.Parse()
+	// A signal ends the faults, and with them the runs and their processes.
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
 	var g errgroup.Group
 	g.SetLimit(*atOnce)
 	var mu sync.Mutex
-	failed, jobs, injected := 0, 0, 0
+	failed, jobs, starts, injected := 0, 0, 0, map[string]int{}
 	for i := range *seeds {
 		seed := *first + uint64(i)
+		o := options
+		o.Seed = seed
 		g.Go(func() error {
-			r, logFolder, err := runSeed(seed, *program, *folder, *faults)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			r, logFolder, err := runSeed(ctx, o, *folder)
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			jobs, injected = jobs+r.Jobs, injected+r.Faults
-			fmt.Printf("seed=%d jobs=%d faults=%d violations=%d\n", seed, r.Jobs, r.Faults, len(r.Violations))
+			jobs, starts = jobs+r.Jobs, starts+r.Starts
+			n := 0
+			for kind, count := range r.Faults {
+				injected[kind] += count
+				n += count
+			}
+			fmt.Printf("seed=%d jobs=%d starts=%d faults=%d stalled_ms=%d violations=%d\n", seed, r.Jobs, r.Starts, n, r.Stalled.Milliseconds(), len(r.Violations))
 			for _, v := range r.Violations {
 				fmt.Printf("  %s\n", v)
 			}
@@ -49,7 +70,10 @@
 		})
 	}
 	err := g.Wait()
-	fmt.Printf("runs=%d failed=%d jobs=%d faults=%d\n", *seeds, failed, jobs, injected)
+	fmt.Printf("runs=%d failed=%d jobs=%d starts=%d\n", *seeds, failed, jobs, starts)
+	for _, kind := range slices.Sorted(maps.Keys(injected)) {
+		fmt.Printf("  %s=%d\n", kind, injected[kind])
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
 	}
@@ -59,18 +83,17 @@
 }
 
 // runSeed runs one seed. It removes the folder of the run if there was neither an error nor a violation.
-func runSeed(seed uint64, program, folder string, faults time.Duration) (soak.Report, string, error) {
-	logFolder := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
-	if err := os.RemoveAll(logFolder); err != nil {
-		return soak.Report{}, logFolder, err
+func runSeed(ctx context.Context, options soak.Options, folder string) (soak.Report, string, error) {
+	options.Folder = filepath.Join(folder, fmt.Sprintf("seed-%d", options.Seed))
+	if err := os.RemoveAll(options.Folder); err != nil {
+		return soak.Report{}, options.Folder, err
 	}
-	if err := os.MkdirAll(logFolder, 0o755); err != nil {
-		return soak.Report{}, logFolder, err
+	if err := os.MkdirAll(options.Folder, 0o755); err != nil {
+		return soak.Report{}, options.Folder, err
 	}
-	options := soak.Options{Seed: seed, Program: program, Folder: logFolder, FaultDuration: faults, CompletionLimit: 40 * time.Second, Workers: 6}
-	r, err := soak.Run(context.Background(), options)
+	r, err := soak.Run(ctx, options)
 	if err == nil && len(r.Violations) == 0 {
-		err = os.RemoveAll(logFolder)
+		err = os.RemoveAll(options.Folder)
 	}
-	return r, logFolder, err
+	return r, options.Folder, err
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -1,9 +1,10 @@
 // Package soak runs the real programs as processes on loopback under random faults, and checks the requirements of the
 // system from what callers, operators and workers observe. Faults are injected from outside the processes: by signals,
-// and by proxies in front of each listener.
+// by proxies in front of each listener, and by the workers, which are modelled in the process of the soak.
 package soak
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -17,7 +18,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardwalk/mustardwalk/internal/simworker"
-	"github.com/mustardwalk/mustardwalk/internal/standin/fleet"
 )
 
 // Options of a run.
@@ -27,13 +27,23 @@
 	Folder          string        // For logs and data; the command keeps it when a run fails.
 	FaultDuration   time.Duration // How long faults are injected.
 	CompletionLimit time.Duration // How long accepted jobs may take to complete after the faults.
-	Workers         int
+	Entries         int           // Number of entry hosts, at most 200.
+	Workers         int           // At most 200.
+	Without         []string      // Kinds of faults that are not injected.
 }
 
+// hostPorts are below the range from which the system picks ports, so that they are free while a host or a worker is down.
+var hostPorts = ports{peers: 21001, control: 21002, front: 21003, ready: 21004}
+
+// coreHosts is the number of core hosts of a run.
+const coreHosts = 3
+
 // Report is the outcome of a run.
 type Report struct {
-	Jobs, Faults int // Accepted jobs and injected faults.
+	Jobs, Starts int            // Accepted jobs and started attempts.
+	Faults       map[string]int // Injected faults by kind.
 	Violations   []string
+	Stalled      time.Duration // For how long the process of the soak did not run, because the machine was busy.
 }
 
 // run is a running deployment under faults.
@@ -41,67 +51,118 @@
 	options   Options
 	random    *rand.Rand
 	ports     ports
-	network   string // First three bytes of the IP addresses of the run, which differ by process and seed.
+	block     int // Second byte of the IP addresses of the run.
 	cores     []*process
 	entries   []*process
 	checks    *checker
 	gangs     *simworker.Gangs
 	gangsLock sync.Mutex
 	start     time.Time
-	workers   []*fleet.Worker
-	proxies   []*Proxy // In front of the workers.
-	faults    int      // Faults injected so far.
+	workers   []*workerSlot
+
+	mu         sync.Mutex
+	leaderIP   string
+	faults     map[string]int
+	events     *bufio.Writer // Faults, and starts and ends of attempts, with the time.
+	eventsFile *os.File
+
+	stalled      time.Duration
+	coreFaults   int       // Faults of core hosts in progress.
+	coreFaultEnd time.Time // When the last of them ended.
 }
 
 // Run runs the programs under the faults that the seed determines, and checks the requirements.
 func Run(ctx context.Context, options Options) (Report, error) {
 	r := &run{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), gangs: simworker.NewGangs(), start: time.Now(),
-		network: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, options.Seed%250),
+		block: 16 + os.Getpid()%200, ports: hostPorts, faults: map[string]int{},
 	}
+	var err error
+	if r.eventsFile, err = os.Create(filepath.Join(options.Folder, "events.log")); err != nil {
+		return Report{}, err
+	}
+	r.events = bufio.NewWriter(r.eventsFile)
 	r.checks = newChecker(r)
-	r.gangs.OnEvent = r.checks.observe
+	r.gangs.OnEvent, r.gangs.OnAcknowledged, r.gangs.OnDuplicate = r.checks.observe, r.checks.acknowledged, r.checks.duplicate
 	defer r.stopAll()
 	if err := r.startAll(); err != nil {
 		return Report{}, err
 	}
+	watchCtx, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go r.watchStalls(watchCtx)
 	g, ctx := errgroup.WithContext(ctx)
 	loadCtx, cancel := context.WithTimeout(ctx, options.FaultDuration)
 	defer cancel()
 	g.Go(func() error { r.checks.submitJobs(loadCtx); return nil })
-	g.Go(func() error { r.checks.changeConfigs(loadCtx); return nil })
+	for operator := range operators {
+		g.Go(func() error { r.checks.changeConfigs(loadCtx, operator); return nil })
+	}
 	g.Go(func() error { return r.injectFaults(loadCtx) })
 	if err := g.Wait(); err != nil {
 		return Report{}, err
 	}
+	r.logEvent("faults_over")
 	r.checks.awaitCompletion(options.CompletionLimit)
-	return Report{Jobs: r.checks.accepted(), Faults: r.faults, Violations: r.checks.violations()}, nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Report{
+		Jobs: r.checks.accepted(), Starts: r.checks.starts, Faults: r.faults, Violations: r.checks.violations(), Stalled: r.stalled,
+	}, nil
 }
 
-// startAll starts three core hosts, two entry hosts and the workers. It picks the ports by listening on free ones.
-func (r *run) startAll() error {
-	for _, port := range []*int{&r.ports.peers, &r.ports.control, &r.ports.front, &r.ports.ready} {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return err
+// Period of the check for stalls, and how late it must be to be logged.
+const (
+	stallCheck = 50 * time.Millisecond
+	minStall   = 500 * time.Millisecond
+)
+
+// watchStalls logs when this process did not run for a while, because the machine was busy or suspended: then the
+// times in the run are not those that the seed determines.
+func (r *run) watchStalls(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+		time.Sleep(stallCheck)
+		if stall := time.Since(last); stall > minStall {
+			r.logEvent("STALL %v", stall.Round(time.Millisecond))
+			r.mu.Lock()
+			r.stalled += stall
+			r.mu.Unlock()
 		}
-		*port = l.Addr().(*net.TCPAddr).Port
-		defer l.Close()
-	}
-	var seeds []string
-	for i := range 3 {
-		seeds = append(seeds, fmt.Sprintf("%s.%d", r.network, i+1))
 	}
-	for i := range 5 {
+}
+
+// logEvent writes a line to the log of events.
+func (r *run) logEvent(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	fmt.Fprintf(r.events, "%s %8.3f %s\n", now.UTC().Format("15:04:05.000"), now.Sub(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// Third bytes of the IP addresses of a run, which differ by seed: proxies in front of hosts, hosts, and workers.
+const (
+	proxyNetwork = iota
+	hostNetwork
+	workerNetwork
+	networks
+)
+
+func (r *run) ip(network, i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", r.block, int(r.options.Seed)%80*networks+network, i+1)
+}
+
+// startAll starts the core hosts, the entry hosts and the workers.
+func (r *run) startAll() error {
+	for i := range coreHosts + r.options.Entries {
 		role := "core"
-		if i >= 3 {
+		if i >= coreHosts {
 			role = "entry"
 		}
 		p := &process{
-			name: fmt.Sprintf("%s-%d", role, i), role: role, proxyIP: fmt.Sprintf("%s.%d", r.network, i+1),
-			listenIP: fmt.Sprintf("%s.%d", r.network, i+101), folder: r.options.Folder, program: r.options.Program, founding: true,
+			name: fmt.Sprintf("%s-%d", role, i), role: role, proxyIP: r.ip(proxyNetwork, i), listenIP: r.ip(hostNetwork, i),
+			folder: r.options.Folder, program: r.options.Program, founding: true, unexpectedEnd: r.checks.addViolation,
 		}
-		if err := r.startProcess(p, seeds); err != nil {
+		if err := r.startProcess(p); err != nil {
 			return err
 		}
 		if role == "core" {
@@ -111,14 +172,14 @@
 		}
 	}
 	for i := range r.options.Workers {
-		if err := r.startWorker(i); err != nil {
+		if err := r.addWorker(i); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *run) startProcess(p *process, seeds []string) error {
+func (r *run) startProcess(p *process) error {
 	var err error
 	if p.log, err = os.Create(filepath.Join(r.options.Folder, p.name+".log")); err != nil {
 		return err
@@ -130,40 +191,25 @@
 		}
 		p.proxies = append(p.proxies, proxy)
 	}
-	if err := p.writeSettings(r.ports, seeds); err != nil {
+	if err := p.writeSettings(r.ports, r.seedIPs()); err != nil {
 		return err
 	}
 	return p.start(r.ports)
 }
 
-// startWorker starts an incarnation of a worker. The start of the first incarnation also starts the proxy in front of
-// the worker.
-func (r *run) startWorker(i int) error {
-	listen := fmt.Sprintf("%s.%d:%d", r.network, 200+i, r.ports.front)
-	advertised := fmt.Sprintf("%s.%d:%d", r.network, 200+i, r.ports.control)
-	w, err := fleet.StartWorker(fleet.WorkerOptions{
-		ID: fmt.Sprintf("i-%d", i), Zone: "z", Rack: "r", Service: service, Listen: listen, Advertise: advertised, ControlAddresses: r.controlAddresses(),
-		ClockRate: 0.985, Gangs: r.gangs, GangsLock: &r.gangsLock, Start: r.start,
-	})
-	if err != nil {
-		return err
-	}
-	if i < len(r.workers) {
-		r.workers[i] = w
-		return nil
-	}
-	proxy, err := NewProxy(advertised, listen)
-	if err != nil {
-		return err
+// seedIPs returns the IP addresses of the core hosts.
+func (r *run) seedIPs() []string {
+	var out []string
+	for i := range coreHosts {
+		out = append(out, r.ip(proxyNetwork, i))
 	}
-	r.workers, r.proxies = append(r.workers, w), append(r.proxies, proxy)
-	return nil
+	return out
 }
 
 func (r *run) controlAddresses() []string {
 	var out []string
-	for i := range 3 {
-		out = append(out, fmt.Sprintf("%s.%d:%d", r.network, i+1, r.ports.control))
+	for _, ip := range r.seedIPs() {
+		out = append(out, fmt.Sprintf("%s:%d", ip, r.ports.control))
 	}
 	return out
 }
@@ -176,141 +222,47 @@
 	return out
 }
 
-func (r *run) stopAll() {
-	for _, p := range append(r.cores, r.entries...) {
-		for _, x := range p.proxies {
-			x.Close()
-		}
-		if p.cmd != nil && p.cmd.ProcessState == nil {
-			_ = p.signalAndWait(syscall.SIGKILL, 5*time.Second) // The run is over: how the process ends does not matter.
+// leader returns the core host that the answers to reports named last as the leader, or any.
+func (r *run) leader(random *rand.Rand) *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.cores {
+		if p.proxyIP == r.leaderIP {
+			return p
 		}
-		_ = p.log.Close() // Only the process writes to the file.
-	}
-	for _, w := range r.workers {
-		w.Crash()
-	}
-	for _, x := range r.proxies {
-		x.Close()
 	}
+	return r.cores[random.IntN(len(r.cores))]
 }
 
-// catchUpTime is how long a core host still counts as lost after it has come back, because it has to catch up with the
-// others first. The deployment tolerates the loss of one core host at a time.
-const catchUpTime = 4 * time.Second
-
-// startupTime is how long the programs may take until they handle signals. A SIGTERM before that kills a program, which
-// has taken no request yet, instead of stopping it cleanly, and the run would report that as a violation (regression
-// seed 3).
-const startupTime = time.Second
-
-// injectFaults injects faults until ctx ends, and waits until all of them are removed. At most one core host has a
-// fault at a time; faults of entry hosts and workers may overlap with it and with each other.
-func (r *run) injectFaults(ctx context.Context) error {
-	var g errgroup.Group
-	time.Sleep(startupTime)
-	nextCoreFault := time.Now().Add(catchUpTime)
-	// The times until which the entry hosts, and after them the workers, count as having a fault.
-	busyUntil := make([]time.Time, len(r.entries)+len(r.workers))
-	for ctx.Err() == nil {
-		wait := time.Duration(200+r.random.IntN(1200)) * time.Millisecond
-		duration := time.Duration(300+r.random.IntN(5000)) * time.Millisecond
-		kind := r.random.IntN(100)
-		switch {
-		case kind < 35 && time.Now().After(nextCoreFault):
-			p, action := r.cores[r.random.IntN(len(r.cores))], r.random.IntN(5)
-			fault := Fault(1 + r.random.IntN(int(faultCount)-1))
-			// A planned stop may take up to its grace period.
-			nextCoreFault = time.Now().Add(duration + 8*time.Second + catchUpTime)
-			r.faults++
-			g.Go(func() error { return r.injectProcessFault(p, action, fault, duration) })
-		case kind < 60:
-			i := r.random.IntN(len(r.entries))
-			if time.Now().Before(busyUntil[i]) {
-				break
-			}
-			p, action := r.entries[i], r.random.IntN(4)
-			busyUntil[i] = time.Now().Add(duration + 8*time.Second)
-			fault := Fault(1 + r.random.IntN(int(faultCount)-1))
-			r.faults++
-			g.Go(func() error { return r.injectProcessFault(p, action, fault, duration) })
-		case kind < 90:
-			i := r.random.IntN(len(r.workers))
-			if time.Now().Before(busyUntil[len(r.entries)+i]) {
-				break
-			}
-			busyUntil[len(r.entries)+i] = time.Now().Add(duration + 2*time.Second)
-			fault := Fault(r.random.IntN(int(faultCount)))
-			r.faults++
-			g.Go(func() error { return r.injectWorkerFault(i, fault, duration) })
-		}
-		time.Sleep(wait)
+func (r *run) setLeader(address string) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return
 	}
-	return g.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaderIP = host
 }
 
-// Actions on the process of a host.
-const (
-	actionKill = iota
-	actionPause
-	actionProxy
-	actionStop
-	actionWipe // Core hosts only.
-)
-
-// injectProcessFault pauses the process of a host or disturbs its connections for a duration, or ends the process and
-// starts it again after a quarter of the duration. After actionWipe it starts with an empty data folder.
-func (r *run) injectProcessFault(p *process, action int, fault Fault, duration time.Duration) error {
-	switch action {
-	case actionPause:
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(duration)
-		p.signal(syscall.SIGCONT)
-		return nil
-	case actionProxy:
-		for _, x := range p.proxies {
-			x.SetFault(fault)
-		}
-		time.Sleep(duration)
+func (r *run) stopAll() {
+	var all errgroup.Group
+	for _, p := range append(r.cores, r.entries...) {
 		for _, x := range p.proxies {
-			x.SetFault(Pass)
-		}
-		return nil
-	case actionStop:
-		if err := p.signalAndWait(syscall.SIGTERM, 7*time.Second); err != nil {
-			r.checks.addViolation("%v", err)
-		}
-	default:
-		if err := p.signalAndWait(syscall.SIGKILL, 5*time.Second); err != nil {
-			return err
-		}
-	}
-	p.founding = false
-	if action == actionWipe {
-		if err := os.RemoveAll(p.dataFolder()); err != nil {
-			return err
+			x.Close()
 		}
+		all.Go(func() error { return p.signalAndWait(syscall.SIGKILL, 5*time.Second) })
 	}
-	time.Sleep(duration / 4)
-	var seeds []string
-	for _, c := range r.cores {
-		seeds = append(seeds, c.proxyIP)
+	_ = all.Wait() // The run is over: how the processes end does not matter.
+	for _, p := range append(r.cores, r.entries...) {
+		_ = p.log.Close() // Only the process writes to the file.
 	}
-	if err := p.writeSettings(r.ports, seeds); err != nil {
-		return err
+	for _, w := range r.workers {
+		w.end()
 	}
-	return p.start(r.ports)
-}
-
-// injectWorkerFault disturbs the connections to a worker for a duration. If the fault is Pass, it instead crashes the
-// worker and starts a new incarnation after 1 s.
-func (r *run) injectWorkerFault(i int, fault Fault, duration time.Duration) error {
-	if fault != Pass {
-		r.proxies[i].SetFault(fault)
-		time.Sleep(duration)
-		r.proxies[i].SetFault(Pass)
-		return nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.events.Flush(); err != nil {
+		fmt.Fprintln(os.Stderr, "error: the log of events is incomplete:", err)
 	}
-	r.workers[i].Crash()
-	time.Sleep(time.Second)
-	return r.startWorker(i)
+	_ = r.eventsFile.Close() // All of it has been written.
 }
