--- a/soak/callers.go
+++ b/soak/callers.go
@@ -35,6 +35,10 @@
 	configPeriod   = 700 * time.Millisecond
 	fastestArrival = 150 * time.Millisecond // Between two jobs; the seed draws the period of a run.
 	slowestArrival = 450 * time.Millisecond
+	shortestWork   = 200 * time.Millisecond
+	usualWork      = 3 * time.Second
+	longestWork    = 9 * time.Second // Long enough for an attempt to outlive the first lease of its worker.
+	longShare      = 0.25            // Share of jobs that take longer than usualWork.
 	cancelShare    = 0.1
 	cancelAfter    = 2 * time.Second // Longest time until a job is cancelled.
 )
@@ -74,8 +78,12 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		id := domain.JobID(fmt.Sprintf("%016x", uint64(n+1)<<16|c.parent.options.Seed&0xffff))
 		tasks := 1 + random.IntN(4)
-		demand := domain.Resources{CPU: 1000, MemoryMB: 100, Accelerators: 1 + random.Int64N(4)}
-		body := fleet.JobBody(fmt.Sprintf("work=%d gang=%d", 200+random.IntN(3500), tasks), fleet.Step{
+		demand := domain.Resources{CPU: 1000, MemoryMB: 100, Accelerators: 1 + random.Int64N(3)}
+		work := between(random, shortestWork, usualWork)
+		if random.Float64() < longShare {
+			work = between(random, usualWork, longestWork)
+		}
+		body := fleet.JobBody(fmt.Sprintf("work=%d gang=%d", work.Milliseconds(), tasks), fleet.Step{
 			"count": tasks, "cpu": demand.CPU, "mem_mb": demand.MemoryMB, "gpus": demand.Accelerators, "gang": tasks > 1, "est_runtime_ms": 1500,
 			"checkpointable": random.IntN(2) == 0,
 		})
--- a/soak/run.go
+++ b/soak/run.go
@@ -28,13 +28,20 @@
 	FaultDuration   time.Duration // How long faults are injected.
 	CompletionLimit time.Duration // How long accepted jobs may take to complete after the faults.
 	Entries         int           // Number of entry hosts, at most 200.
-	Workers         int           // At most 200.
+	Workers         int           // At most 200; 0 for a small number that the seed determines.
 	Without         []string      // Kinds of faults that are not injected.
 }
 
 // hostPorts are below the range from which the system picks ports, so that they are free while a host or a worker is down.
 var hostPorts = ports{peers: 21001, control: 21002, front: 21003, ready: 21004}
 
+// Bounds of the number of workers that the seed determines: with few of them the jobs have to wait, with many some
+// workers are idle.
+const (
+	fewWorkers  = 3
+	manyWorkers = 9
+)
+
 // coreHosts is the number of core hosts of a run.
 const coreHosts = 3
 
@@ -77,6 +84,9 @@
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), gangs: simworker.NewGangs(), start: time.Now(),
 		block: 16 + os.Getpid()%200, ports: hostPorts, faults: map[string]int{},
 	}
+	if options.Workers == 0 {
+		r.options.Workers = fewWorkers + int(options.Seed)%(manyWorkers-fewWorkers+1)
+	}
 	var err error
 	if r.eventsFile, err = os.Create(filepath.Join(options.Folder, "events.log")); err != nil {
 		return Report{}, err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,7 +47,7 @@
 			logs := filepath.Join(folder, "logs")
 			Expect(os.MkdirAll(logs, 0o755)).To(Succeed())
 			r, err := soak.Run(context.Background(), soak.Options{
-				Seed: x.seed, Program: program, Folder: logs, FaultDuration: 12 * time.Second, CompletionLimit: 40 * time.Second, Entries: 2, Workers: 8,
+				Seed: x.seed, Program: program, Folder: logs, FaultDuration: 12 * time.Second, CompletionLimit: 60 * time.Second, Entries: 2,
 				Without: x.known,
 			})
 			Expect(err).NotTo(HaveOccurred())
