--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -87,7 +87,7 @@
 var _ = Describe("a worker that lists an attempt that it should not have", func() {
 	DescribeTable("gets no start until it has ended", func(busy bool) {
 		w := newWorld(1, 1)
-		w.workers[0].StopTime = 900 * time.Millisecond
+		w.workers[0].StopTime = func() time.Duration { return 900 * time.Millisecond }
 		w.run(time.Second)
 		if busy {
 			w.submit(domain.JobSpec{ID: "busy", Payload: "work=60000", Steps: []domain.Step{step(1, 1)}})
