dispatch: workers that ended unseen no longer close their zone to new attempts

Cause: a zone is suspected of being cut off while three or more of its workers leave calls unanswered and these are more than those that answered within the last second. Workers that end without deregistering stay registered, and their calls fail, until they are forgotten after 30 s. The idle workers that are left in the zone get no calls, so they don't count as answering, and no attempts, so they stay idle. Ruled out: the reserve of empty workers, the reservations for gangs and the guarantees; they give way under light load once the view has all workers.

Change: a worker that leaves calls unanswered counts for two limits of late reports after it was heard from last.

Tests: "gets new attempts once the workers that do not answer have stopped reporting too" failed before the change (8 of 9 workers got attempts, the one that was left in the zone none). "gets no more attempts from the first second of a partition on" passes before and after, and fails with one limit.

Three workers of a zone that go on reporting but leave calls unanswered still keep idle workers of that zone without attempts.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -259,6 +259,11 @@
 	// being cut off. They must also be more than those that have answered within recentAnswer.
 	suspectZoneFailures = 3
 	recentAnswer        = time.Second
+	// evidencePeriods is how many times the limit for late reports a worker that leaves calls unanswered counts after it
+	// was heard from last. With two, its zone stays suspected until every worker of a zone that was cut off as a whole is
+	// late with its report. A worker that has ended must not count for longer: the idle ones beside it are not called, so
+	// they cannot show that they answer.
+	evidencePeriods = 2
 )
 
 // suspectZones returns the zones that seem to be cut off. Their workers get no new attempts, since a task whose start
@@ -268,7 +273,7 @@
 	for id, s := range l.sessions {
 		w := l.state.Worker(id)
 		switch {
-		case w == nil:
+		case w == nil || l.unheard(now, s) >= evidencePeriods*l.reportLimit():
 		case s.failures > 0:
 			failing[w.Zone]++
 		case s.everAnswered && now.Mono-s.answeredAt < recentAnswer:
@@ -286,8 +291,15 @@
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Incarnation.ID]
 	return s != nil && s.incarnation == w.Incarnation && !s.forgetInFlight && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
-		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil &&
-		now.Mono-max(s.answeredAt, s.reportedAt) < l.options.ReportPeriod+reportSlack
+		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil && l.unheard(now, s) < l.reportLimit()
+}
+
+// reportLimit is for how long a worker may be unheard before it gets no new attempts.
+func (l *Leader) reportLimit() time.Duration { return l.options.ReportPeriod + reportSlack }
+
+// unheard returns for how long a worker has neither answered nor reported.
+func (l *Leader) unheard(now Time, s *session) time.Duration {
+	return now.Mono - max(s.answeredAt, s.reportedAt)
 }
 
 // attemptsOn returns the attempts on a worker, with what the placement needs to choose among them for preemption.
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -263,3 +264,58 @@
 		Expect(fewest).To(Equal(3))
 	})
 })
+
+var _ = Describe("a zone of which workers leave calls unanswered", func() {
+	// Guards against idle workers that get no attempts for as long as others of their zone, which have ended unseen, are
+	// registered.
+	It("gets new attempts once the workers that do not answer have stopped reporting too", func() {
+		w := newWorld(1, 12)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "before", Payload: "work=1500", Steps: []domain.Step{step(12, 8)}})
+		w.run(2 * time.Second)
+		gone := []string{"i-000", "i-003", "i-006"} // All but one of the zone.
+		for _, id := range gone {
+			w.crash(w.worker(id))
+		}
+		w.run(10 * time.Second)
+		w.submit(domain.JobSpec{ID: "after", Payload: "work=1000", Steps: []domain.Step{step(9, 8)}})
+		w.run(w.now + 500*time.Millisecond)
+		for _, id := range gone {
+			Expect(w.stateMachine.Worker(id)).NotTo(BeNil())
+		}
+		var on []string
+		for _, e := range w.running {
+			on = append(on, e.Worker.ID)
+		}
+		Expect(on).To(ContainElement("i-009"), "the worker that is left in the zone")
+	})
+
+	// Guards against starts on idle workers of a zone that is cut off as a whole, which are lost: each of its workers was
+	// heard from last at another time.
+	It("gets no more attempts from the first second of a partition on", func() {
+		for seed := range uint64(4) {
+			w := newWorld(seed, 0)
+			for i := range 48 {
+				w.addWorker(fmt.Sprintf("i-%03d", i), i)
+				w.run(w.now + reportEvery/48)
+			}
+			cutAt := 10 * time.Second
+			begunLate := 0
+			w.log = func(event string, kv ...any) {
+				if i := slices.Index(kv, "worker"); event == "attempt_begun" && w.now > cutAt+time.Second && w.cutOff[kv[i+1].(string)] {
+					begunLate++
+				}
+			}
+			for n := 0; w.now < 16*time.Second; n++ {
+				w.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprint("j", n)), Payload: "work=2000", Steps: []domain.Step{step(1, int64(1+n%3))}})
+				w.run(w.now + 20*time.Millisecond)
+				if w.now >= cutAt {
+					for i := 0; i < 48; i += 3 {
+						w.cutOff[fmt.Sprintf("i-%03d", i)] = true
+					}
+				}
+			}
+			Expect(begunLate).To(BeZero())
+		}
+	})
+})
