dispatch: keep a moved attempt until no late start of it can run, if its stop is not confirmed

A worker that came back under its identifier and was cut off before the stop of a moved attempt reached it had no lease in the leader's reckoning: the attempt was declared lost at once, and a late start ran it beside the next attempt. Now it may get late starts for 12 s, each with a whole lease, before the attempt counts as lost.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -117,6 +117,7 @@
 	}
 	for id, a := range l.attempts {
 		if state.Job(id.Job).Task(id).Moved {
+			l.session(a.incarnation, now).mayGetLateStarts(now.Mono, options.LeaseDuration)
 			l.abandon(a, reasonRestarted)
 		}
 	}
@@ -350,6 +351,7 @@
 			m := l.adopt(id, a.number, j.Task(id).Worker, now)
 			m.checkpoint = a.checkpoint
 			moved = append(moved, m)
+			l.session(m.incarnation, now).mayGetLateStarts(now.Mono, l.options.LeaseDuration)
 		}
 	}
 	for _, a := range moved {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -72,6 +72,15 @@
 	return time.Duration(float64(lease) / slowestClockRate)
 }
 
+// lateCallLimit is how late a worker may carry out a call that was not answered.
+const lateCallLimit = 12 * time.Second
+
+// mayGetLateStarts notes that the worker may until then carry out starts that were meant for an earlier incarnation with
+// its identifier, under leases that they grant.
+func (s *session) mayGetLateStarts(now, lease time.Duration) {
+	s.earlierLeaseEnd = max(s.earlierLeaseEnd, now+lateCallLimit+longest(lease))
+}
+
 // silentAfter is for how long a worker may leave calls unanswered before its lease is no longer extended.
 const silentAfter = 1200 * time.Millisecond
 
