dispatch: make workers reject late starts that nothing else keeps from being carried out

A start without an answer may be carried out up to 12 s later. Two cases were open: the attempt was declared lost and its worker is used again, so that it holds a lease (if workers judge a late start by that lease; the protocol can be read either way); and the attempt ended, and the worker started again under its identifier, so that it knows nothing of it.

The leader now remembers unanswered starts for 12 s. In both cases it sends a stop, after which the worker rejects the start, and gives the worker nothing new until that is confirmed and the worker has listed what it runs. Only the time between the birth of an incarnation and that stop remains.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -26,7 +26,7 @@
 		case a.stopWanted && !a.stopConfirmed:
 			a.callsInFlight++
 			l.sendCall(now, w, Call{Kind: CallStop, Task: id, Attempt: a.number})
-		case !a.stopWanted && !a.startConfirmed && s.hasClock && s.unknown == 0 && !s.silent(now.Mono):
+		case !a.stopWanted && !a.startConfirmed && s.hasClock && s.unknown == 0 && len(l.toReject(now, s)) == 0 && !s.silent(now.Mono):
 			l.sendStart(now, w, s, a)
 		}
 	}
@@ -99,7 +99,7 @@
 		busy := len(w.Attempts()) > 0
 		unacked := w.Cursor > s.ackedCursor
 		switch {
-		case s.holdNow && s.holdsInFlight < 2 && (busy || unacked) && now.Mono >= s.nextHoldAt:
+		case s.holdNow && s.holdsInFlight < 2 && (busy || unacked || s.unknown > 0) && now.Mono >= s.nextHoldAt:
 			s.holdNow = false
 			l.sendHold(now, w, s, 0)
 		case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
@@ -137,6 +137,12 @@
 	}
 	delete(l.callsInFlight, id)
 	s := l.sessions[p.call.Worker.ID]
+	switch {
+	case p.call.Kind == CallStart && r.Status == NoAnswer:
+		l.noteLateStart(p)
+	case p.call.Kind == CallStop:
+		l.stopAnswered(now, s, p.call, r.Status)
+	}
 	if s == nil || s.incarnation != p.call.Worker {
 		return
 	}
--- /dev/null
+++ b/internal/dispatch/late.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// lateStart is a start that was not answered. The worker, or a later incarnation with its identifier, may still carry it
+// out, until lateCallLimit is over.
+type lateStart struct {
+	incarnation domain.WorkerIncarnation
+	task        domain.TaskID
+	attempt     int
+	sentAt      time.Duration
+	lost        bool          // The attempt was declared lost, so nothing else makes its worker reject the start.
+	inFlight    bool          // A stop that makes it rejected is in flight.
+	nextTryAt   time.Duration // Earliest time of the next stop.
+}
+
+// noteLateStart notes a start that was not answered.
+func (l *Leader) noteLateStart(p pendingCall) {
+	id := p.call.Worker.ID
+	l.lateStarts[id] = append(l.lateStarts[id], &lateStart{incarnation: p.call.Worker, task: p.call.Task, attempt: p.call.Attempt, sentAt: p.sentAt})
+}
+
+// toReject returns the late starts that an incarnation of a worker is to reject before it gets new attempts.
+func (l *Leader) toReject(now Time, s *session) []*lateStart {
+	var out []*lateStart
+	for _, x := range l.lateStarts[s.incarnation.ID] {
+		a := l.attempts[x.task]
+		stopping := a != nil && a.number == x.attempt && a.incarnation == s.incarnation // It is stopped as an attempt.
+		if now.Mono < x.sentAt+lateCallLimit && !stopping && (x.lost || x.incarnation != s.incarnation) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// rejectLateStarts sends stops for late starts to the workers that answer: a worker rejects a start after its stop.
+func (l *Leader) rejectLateStarts(now Time) {
+	for id := range l.lateStarts {
+		w, s := l.state.Worker(id), l.sessions[id]
+		if w == nil || s == nil || s.incarnation != w.Incarnation || s.failures > 0 || s.lossInFlight || s.forgetInFlight {
+			continue
+		}
+		for _, x := range l.toReject(now, s) {
+			if !x.inFlight && now.Mono >= x.nextTryAt {
+				x.inFlight = true
+				l.sendCall(now, w, Call{Kind: CallStop, Task: x.task, Attempt: x.attempt})
+			}
+		}
+	}
+}
+
+// stopAnswered drops a late start that a worker has confirmed to reject. The next list of the worker tells whether it
+// was carried out before that.
+func (l *Leader) stopAnswered(now Time, s *session, c Call, status Status) {
+	if l.lateStarts[c.Worker.ID] == nil {
+		return
+	}
+	l.lateStarts[c.Worker.ID] = slices.DeleteFunc(l.lateStarts[c.Worker.ID], func(x *lateStart) bool {
+		if !x.inFlight || x.task != c.Task || x.attempt != c.Attempt {
+			return false
+		}
+		x.inFlight, x.nextTryAt = false, now.Mono+retryFirst
+		if s == nil || s.incarnation != c.Worker || (status != OK && status != RejectedEnded) {
+			return false
+		}
+		s.unknown, s.holdNow = max(1, s.unknown), true
+		return true
+	})
+}
+
+// dropLateStarts drops the late starts that are not carried out any more.
+func (l *Leader) dropLateStarts(now Time) {
+	for id, all := range l.lateStarts {
+		all = slices.DeleteFunc(all, func(x *lateStart) bool { return now.Mono >= x.sentAt+lateCallLimit && !x.inFlight })
+		if l.lateStarts[id] = all; len(all) == 0 {
+			delete(l.lateStarts, id)
+		}
+	}
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -54,6 +54,7 @@
 	workersChanged bool     // workerIDs must be built anew.
 	callsInFlight  map[uint64]pendingCall
 	lastCallID     uint64
+	lateStarts     map[string][]*lateStart // By worker.
 	// leaseEnds holds when the leases of workers are over whose sessions were dropped. A worker that was forgotten may
 	// still run, and registers again.
 	leaseEnds       map[domain.WorkerIncarnation]time.Duration
@@ -95,6 +96,7 @@
 		attempts:        map[domain.TaskID]*attemptState{},
 		unsettled:       map[domain.TaskID]*attemptState{},
 		callsInFlight:   map[uint64]pendingCall{},
+		lateStarts:      map[string][]*lateStart{},
 		leaseEnds:       map[domain.WorkerIncarnation]time.Duration{},
 		readySinceMS:    map[stepKey]int64{},
 		criticalPathsMS: map[domain.JobID]int64{},
@@ -383,6 +385,7 @@
 	l.forgetLeaving(now)
 	l.advanceWaves(now)
 	l.plan(now)
+	l.rejectLateStarts(now)
 	l.sendStartsAndStops(now)
 	l.sendHolds(now)
 	out := l.out
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -285,7 +285,7 @@
 // usable tells whether new attempts may go to a worker.
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Incarnation.ID]
-	return s != nil && s.incarnation == w.Incarnation && !s.forgetInFlight && !s.leaving && !s.replaced && s.unknown == 0 && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
+	return s != nil && s.incarnation == w.Incarnation && !s.forgetInFlight && !s.leaving && !s.replaced && s.unknown == 0 && len(l.toReject(now, s)) == 0 && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
 		s.hasClock && s.failures == 0 && now.Mono >= s.avoidUntil &&
 		now.Mono-max(s.answeredAt, s.reportedAt) < l.options.ReportPeriod+reportSlack
 }
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -149,3 +149,46 @@
 		Expect(w.starts).To(Equal(2))
 	})
 })
+
+var _ = Describe("a late start", func() {
+	var w *world
+	var victim string
+	first := domain.TaskID{Job: "j"}
+
+	start := func(payload string) {
+		w = newWorld(1, 2)
+		for _, s := range w.workers {
+			s.StartsUnderLease = true
+		}
+		w.run(20 * time.Second)
+		w.lateStart = 7 * time.Second
+		w.submit(domain.JobSpec{ID: "j", Payload: payload, Steps: []domain.Step{step(1, 1)}})
+		w.run(w.now + 60*time.Millisecond)
+		victim = w.stateMachine.Job("j").Task(first).Worker.ID
+	}
+
+	It("is rejected by a worker that is used again after the attempt was declared lost", func() {
+		start("work=30000")
+		w.cutOff[victim] = true
+		w.run(24 * time.Second)
+		Expect(w.stateMachine.Job("j").Task(first).Attempt).To(Equal(2))
+		delete(w.cutOff, victim)
+		w.run(24500 * time.Millisecond)
+		w.submit(domain.JobSpec{ID: "k", Payload: "work=30000", Steps: []domain.Step{step(2, 7)}})
+		w.run(26900 * time.Millisecond)
+		Expect(w.worker(victim).Running()).To(Equal(1), "it holds another lease")
+		w.run(40 * time.Second)
+		Expect(w.violations).To(BeEmpty())
+	})
+
+	It("is rejected by a later incarnation of a worker on which the attempt has ended", func() {
+		start("work=500")
+		w.run(24500 * time.Millisecond)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		w.replaceWorker(w.worker(victim), 0)
+		w.run(26800 * time.Millisecond)
+		Expect(w.worker(victim).Incarnation.BornMS).To(BeNumerically(">", int64(wallStart+26000)))
+		w.run(40 * time.Second)
+		Expect(w.violations).To(BeEmpty())
+	})
+})
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -97,6 +97,9 @@
 				e.Checkpoint = tracked.checkpoint
 				l.noteLost(now, tracked, "lease_over")
 			}
+			for _, x := range l.lateStarts[s.incarnation.ID] {
+				x.lost = x.lost || (x.task == id && x.attempt == attempt)
+			}
 			ends = append(ends, e)
 		}
 		slices.SortFunc(ends, func(a, b domain.AttemptEnd) int { return a.Task.Compare(b.Task) })
@@ -158,6 +161,7 @@
 			l.forget(now, s)
 		}
 	}
+	l.dropLateStarts(now)
 	maps.DeleteFunc(l.leaseEnds, func(_ domain.WorkerIncarnation, end time.Duration) bool { return end <= now.Mono })
 	if now.Mono >= l.nextPurgeAt {
 		l.nextPurgeAt = now.Mono + purgeEvery
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -108,20 +108,23 @@
 type Worker struct {
 	Incarnation    domain.WorkerIncarnation
 	Capacity       domain.Resources
-	ClockRate      float64       // Rate of the worker's clock relative to real time.
-	FailAttempts   bool          // All attempts fail immediately.
-	StallAttempts  bool          // Attempts make no progress.
-	RequiredTicket string        // Ticket that a start must have, empty for none.
-	StopTime       time.Duration // How long a stopped attempt takes to end. Until then it is listed as running.
-	crashed        bool
-	gangs          *Gangs
-	born           time.Duration // When the incarnation started.
-	fence          uint64        // Highest fencing token of a call.
-	leaseEndMS     int64         // On the worker's clock.
-	running        map[domain.TaskID]*attempt
-	highestEnded   map[domain.TaskID]int // Highest attempt number that was stopped or has ended.
-	ended          []dispatch.EndedTask  // Ended attempts that the cursor of no hold has covered yet.
-	nextEnd        int64                 // Number of the next entry of ended.
+	ClockRate      float64 // Rate of the worker's clock relative to real time.
+	FailAttempts   bool    // All attempts fail immediately.
+	StallAttempts  bool    // Attempts make no progress.
+	RequiredTicket string  // Ticket that a start must have, empty for none.
+	// StartsUnderLease makes the worker accept a start whose lease is over while it holds another one. The protocol can be
+	// read either way.
+	StartsUnderLease bool
+	StopTime         time.Duration // How long a stopped attempt takes to end. Until then it is listed as running.
+	crashed          bool
+	gangs            *Gangs
+	born             time.Duration // When the incarnation started.
+	fence            uint64        // Highest fencing token of a call.
+	leaseEndMS       int64         // On the worker's clock.
+	running          map[domain.TaskID]*attempt
+	highestEnded     map[domain.TaskID]int // Highest attempt number that was stopped or has ended.
+	ended            []dispatch.EndedTask  // Ended attempts that the cursor of no hold has covered yet.
+	nextEnd          int64                 // Number of the next entry of ended.
 }
 
 // New starts an incarnation of a worker.
@@ -236,7 +239,7 @@
 		w.extendLease(now, c.UntilMS)
 		return dispatch.RejectedEnded
 	}
-	if c.UntilMS <= w.Clock(now) {
+	if c.UntilMS <= w.Clock(now) && (!w.StartsUnderLease || w.leaseEndMS <= w.Clock(now)) {
 		return dispatch.RejectedLeaseOver
 	}
 	if c.Ticket != w.RequiredTicket {
