soak: begin the faults once a configuration is acknowledged, and name stalls of the machine

On a machine with a load of 50 to 160 on 8 processors runs accepted no job before the faults were over, and a program got SIGTERM 5 s after its start before it handled signals. A SIGTERM or SIGHUP now waits for the line that logs the start, and the report of a late end names the time for which the machine stalled; the limits are unchanged.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -176,14 +176,8 @@
 // send their changes at the same time, so that a version may arrive after a higher one.
 func (c *checker) changeConfigs(ctx context.Context, operator int) {
 	op := &fleet.Operator{ControlAddresses: c.parent.controlAddresses()}
-	for version := int64(1 + operator); ctx.Err() == nil; version += operators {
-		extra := fleet.QueueRoute{Prefix: fmt.Sprintf("/extra%d/", version%3), Priority: 1, Attempts: 20}
-		body := fleet.ConfigBody(version, hostName, service, append(slices.Clone(queues), extra), apiKey)
-		if op.Send(ctx, http.MethodPut, "/config", body) == http.StatusOK {
-			c.mu.Lock()
-			c.acked = append(c.acked, ackedConfig{version, time.Now()})
-			c.mu.Unlock()
-		}
+	for version := int64(2 + operator); ctx.Err() == nil; version += operators {
+		c.sendConfig(ctx, version)
 		for i := range coreHosts {
 			c.readConfig(ctx, op, i)
 		}
@@ -191,6 +185,18 @@
 	}
 }
 
+// sendConfig sends a configuration until it is acknowledged or ctx ends.
+func (c *checker) sendConfig(ctx context.Context, version int64) {
+	op := &fleet.Operator{ControlAddresses: c.parent.controlAddresses()}
+	extra := fleet.QueueRoute{Prefix: fmt.Sprintf("/extra%d/", version%3), Priority: 1, Attempts: 20}
+	body := fleet.ConfigBody(version, hostName, service, append(slices.Clone(queues), extra), apiKey)
+	if op.Send(ctx, http.MethodPut, "/config", body) == http.StatusOK {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.acked = append(c.acked, ackedConfig{version, time.Now()})
+	}
+}
+
 func (c *checker) readConfig(ctx context.Context, op *fleet.Operator, host int) {
 	sent := time.Now()
 	status, data := op.Once(ctx, host, http.MethodGet, "/config", nil)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,10 +15,17 @@
 // others first. The deployment tolerates the loss of one core host at a time.
 const catchUpTime = 4 * time.Second
 
-// startupTime is how long the programs may take until they handle signals. A SIGTERM before that kills a program, which
-// has taken no request yet, instead of stopping it cleanly, and the run would report that as a violation (regression
-// seed 3).
-const startupTime = time.Second
+// startupTime is how long the programs usually take until they handle signals, and startupLimit how long they may take
+// on a busy machine. A SIGTERM or SIGHUP before that kills a program, which has taken no request yet, instead of stopping
+// it cleanly, and the run would report that as a violation (regression seed 3).
+const (
+	startupTime  = time.Second
+	startupLimit = 20 * time.Second
+	startupCheck = 50 * time.Millisecond
+)
+
+// serviceLimit is how long the faults wait for the first configuration to be acknowledged.
+const serviceLimit = 30 * time.Second
 
 // Limits of the time that a process may take to end: after SIGTERM the grace period of the settings and a margin.
 const (
@@ -261,7 +268,9 @@
 				return err
 			}
 		}
-		p.signal(syscall.SIGHUP)
+		if p.startedUp() {
+			p.signal(syscall.SIGHUP)
+		}
 		time.Sleep(between(random, time.Millisecond, 300*time.Millisecond))
 	}
 	return nil
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"os"
@@ -24,6 +25,7 @@
 	log                           *os.File
 	founding                      bool // Value of the setting bootstrap: true only for the first start.
 	unexpectedEnd                 func(format string, args ...any)
+	stalled                       func() time.Duration // For how long the machine has stalled so far.
 
 	busy sync.Mutex // Held by the fault that ends and starts the process or disturbs its connections.
 
@@ -33,6 +35,7 @@
 	endErr    error         // Set when ended is closed.
 	endWanted bool
 	startedAt time.Time
+	logOffset int // Length of the log at the start.
 }
 
 // writeSettings writes the settings file of the process.
@@ -60,6 +63,11 @@
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	info, err := p.log.Stat()
+	if err != nil {
+		return err
+	}
+	p.logOffset = int(info.Size())
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -79,8 +87,7 @@
 	return nil
 }
 
-// signal sends a signal to the process, unless it has ended. It sends no SIGHUP during startupTime, since that would end
-// the process.
+// signal sends a signal to the process, unless it has ended.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,9 +97,6 @@
 	select {
 	case <-p.ended:
 	default:
-		if s == syscall.SIGHUP && time.Since(p.startedAt) < startupTime {
-			return
-		}
 		if s == syscall.SIGTERM || s == syscall.SIGKILL {
 			p.endWanted = true
 		}
@@ -106,6 +110,7 @@
 func (p *process) signalAndWait(s syscall.Signal, limit time.Duration) error {
 	p.signal(s)
 	p.signal(syscall.SIGCONT)
+	stalled := p.stalled()
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
@@ -121,14 +126,25 @@
 	case <-time.After(limit):
 		p.signal(syscall.SIGKILL)
 		<-ended
-		return fmt.Errorf("%s did not end within %v after signal %v", p.name, limit, s)
+		return fmt.Errorf("%s did not end within %v after signal %v; the machine stalled for %v of that", p.name, limit, s, p.stalled()-stalled)
 	}
 }
 
-// awaitStartup waits until the process has had the time to start up.
-func (p *process) awaitStartup() {
+// startedUp tells whether the process handles signals: it logs its start only after that.
+func (p *process) startedUp() bool {
 	p.mu.Lock()
-	wait := startupTime - time.Since(p.startedAt)
+	offset, younger := p.logOffset, time.Since(p.startedAt) < startupTime
 	p.mu.Unlock()
-	time.Sleep(wait)
+	if younger {
+		return false
+	}
+	data, err := os.ReadFile(p.log.Name())
+	return err == nil && bytes.Contains(data[min(offset, len(data)):], []byte("event=started "))
+}
+
+// awaitStartup waits until the process handles signals.
+func (p *process) awaitStartup() {
+	for end := time.Now().Add(startupLimit); !p.startedUp() && time.Now().Before(end); {
+		time.Sleep(startupCheck)
+	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -102,6 +102,9 @@
 	defer stopWatching()
 	go r.watchStalls(watchCtx)
 	g, ctx := errgroup.WithContext(ctx)
+	startCtx, cancelStart := context.WithTimeout(ctx, serviceLimit)
+	defer cancelStart()
+	r.checks.sendConfig(startCtx, 1)
 	loadCtx, cancel := context.WithTimeout(ctx, options.FaultDuration)
 	defer cancel()
 	g.Go(func() error { r.checks.submitJobs(loadCtx); return nil })
@@ -114,10 +117,8 @@
 	}
 	r.logEvent("faults_over")
 	r.checks.awaitCompletion(options.CompletionLimit)
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	return Report{
-		Jobs: r.checks.accepted(), Starts: r.checks.starts, Faults: r.faults, Violations: r.checks.violations(), Stalled: r.stalled,
+		Jobs: r.checks.accepted(), Starts: r.checks.starts, Faults: r.faults, Violations: r.checks.violations(), Stalled: r.stalledTime(),
 	}, nil
 }
 
@@ -141,6 +142,13 @@
 	}
 }
 
+// stalledTime returns for how long this process has stalled so far.
+func (r *run) stalledTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalled
+}
+
 // logEvent writes a line to the log of events.
 func (r *run) logEvent(format string, args ...any) {
 	r.mu.Lock()
@@ -170,7 +178,7 @@
 		}
 		p := &process{
 			name: fmt.Sprintf("%s-%d", role, i), role: role, proxyIP: r.ip(proxyNetwork, i), listenIP: r.ip(hostNetwork, i),
-			folder: r.options.Folder, program: r.options.Program, founding: true, unexpectedEnd: r.checks.addViolation,
+			folder: r.options.Folder, program: r.options.Program, founding: true, unexpectedEnd: r.checks.addViolation, stalled: r.stalledTime,
 		}
 		if err := r.startProcess(p); err != nil {
 			return err
