dispatch, platform: a worker that has left and no longer listens runs nothing

Cause: workers of the platform end with their notice, and the stops that were to resolve their attempts could not be answered.

Now a refused connection is told apart from a call without an answer. After a notice it shows that the worker's process has ended, so its attempts are over.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -168,7 +168,9 @@
 		l.unanswered(now, s, a)
 		return
 	}
-	if r.Status == NoAnswer {
+	if r.Status == NoAnswer || r.Status == NotListening {
+		// Without a notice the worker may only have closed its listener for a while.
+		s.gone = s.gone || (s.leaving && r.Status == NotListening)
 		l.unanswered(now, s, a)
 		return
 	}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -194,10 +194,15 @@
 // reasonLeaving is why attempts on a leaving worker are stopped.
 const reasonLeaving = "its worker leaves"
 
-// forgetLeaving proposes to forget the leaving workers that have no attempts any more.
+// forgetLeaving proposes to forget the leaving workers that run nothing any more: those that have no attempts, and those
+// that have ended. Ends that such a worker has listed are committed first.
 func (l *Leader) forgetLeaving(now Time) {
 	for _, s := range l.sessions {
-		if w := l.state.Worker(s.incarnation.ID); s.leaving && w != nil && w.Incarnation == s.incarnation && len(w.Attempts()) == 0 {
+		w := l.state.Worker(s.incarnation.ID)
+		if !s.leaving || w == nil || w.Incarnation != s.incarnation || s.endsInFlight {
+			continue
+		}
+		if len(w.Attempts()) == 0 || (s.gone && s.holdsInFlight == 0) {
 			l.forget(now, s)
 		}
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -40,6 +40,7 @@
 	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
 	earlierLeaseEnd time.Duration
 	leaving         bool // The worker has announced its end; it is forgotten once it has no attempts.
+	gone            bool // It has announced its end, and then nothing listened at its address: it runs nothing any more.
 	forgetInFlight  bool // A command that forgets this incarnation is proposed and not applied yet.
 }
 
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -79,9 +79,10 @@
 	OtherIncarnation                // Another incarnation of a worker answers at this address.
 	RejectedTicket                  // The ticket is not valid for the start, or no longer.
 	BadCall                         // The worker did not understand the call.
+	NotListening                    // Nothing listens at the worker's address; the call was not delivered.
 )
 
-var statusNames = [...]string{"no_answer", "ok", "fence", "old", "late", "room", "unhealthy", "other_life", "ticket", "bad_call"}
+var statusNames = [...]string{"no_answer", "ok", "fence", "old", "late", "room", "unhealthy", "other_life", "ticket", "bad_call", "not_listening"}
 
 // String returns the name for logs.
 func (s Status) String() string { return statusNames[s] }
