--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -74,7 +74,8 @@
 }
 
 // firstLease is the lease that a start grants while the worker has confirmed no attempt. If the worker is lost with the
-// start, the task is blocked for this short time only. The hold that follows the confirmation grants the whole lease.
+// start, the task is blocked for this short time only, unless the worker still holds a longer lease. The hold that
+// follows the confirmation grants the whole lease.
 const firstLease = 3 * time.Second
 
 // extendLease returns the end of a lease that begins now, on the worker's clock. It is never before the end of an
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -35,10 +35,12 @@
 	failedInARow  int           // Consecutive failures that count against the worker.
 	avoidUntil    time.Duration // Until then, the worker gets no new attempts.
 	listClockMS   int64         // The worker's clock at its newest lists.
-	unknown       int           // Attempts in its newest lists that the domain does not place there; while there are any, it gets no starts.
-	replaced      bool          // Another incarnation with its identifier has answered.
+	// unknown counts the attempts in its newest lists that the domain does not place there. While there are any, the
+	// worker gets no starts.
+	unknown int
 	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
 	earlierLeaseEnd time.Duration
+	replaced        bool // Another incarnation with its identifier has answered.
 	leaving         bool // The worker has announced its end; it is forgotten once it has no attempts.
 	gone            bool // It has announced its end, and then nothing listened at its address: it runs nothing any more.
 	forgetInFlight  bool // A command that forgets this incarnation is proposed and not applied yet.
