dispatch: each later incarnation of a worker is made to reject a late start

Callers could see a task start again after it was done, when a worker restarted twice under its identifier within the time in which an unanswered start may still be carried out: the confirmation of one incarnation took the start off the list, and the next one knew nothing of it. The confirmation now counts for its incarnation only. The new test failed before: "29.03s: task j.0.0.0 started again after it was done".

--- a/internal/dispatch/late.go
+++ b/internal/dispatch/late.go
@@ -14,9 +14,10 @@
 	task        domain.TaskID
 	attempt     int
 	sentAt      time.Duration
-	lost        bool          // The attempt was declared lost, so nothing else makes its worker reject the start.
-	inFlight    bool          // A stop that makes it rejected is in flight.
-	nextTryAt   time.Duration // Earliest time of the next stop.
+	lost        bool                     // The attempt was declared lost, so nothing else makes its worker reject the start.
+	rejectedBy  domain.WorkerIncarnation // Incarnation that has confirmed to reject it. A later one knows nothing of that.
+	inFlight    bool                     // A stop that makes it rejected is in flight.
+	nextTryAt   time.Duration            // Earliest time of the next stop.
 }
 
 // noteLateStart notes a start that was not answered.
@@ -31,7 +32,7 @@
 	for _, x := range l.lateStarts[s.incarnation.ID] {
 		a := l.attempts[x.task]
 		stopping := a != nil && a.number == x.attempt && a.incarnation == s.incarnation // It is stopped as an attempt.
-		if now.Mono < x.sentAt+lateCallLimit && !stopping && (x.lost || x.incarnation != s.incarnation) {
+		if now.Mono < x.sentAt+lateCallLimit && !stopping && x.rejectedBy != s.incarnation && (x.lost || x.incarnation != s.incarnation) {
 			out = append(out, x)
 		}
 	}
@@ -54,23 +55,19 @@
 	}
 }
 
-// stopAnswered drops a late start that a worker has confirmed to reject. The next list of the worker tells whether it
+// stopAnswered notes that a worker has confirmed to reject a late start. The next list of the worker tells whether it
 // was carried out before that.
 func (l *Leader) stopAnswered(now Time, s *session, c Call, status Status) {
-	if l.lateStarts[c.Worker.ID] == nil {
-		return
-	}
-	l.lateStarts[c.Worker.ID] = slices.DeleteFunc(l.lateStarts[c.Worker.ID], func(x *lateStart) bool {
+	for _, x := range l.lateStarts[c.Worker.ID] {
 		if !x.inFlight || x.task != c.Task || x.attempt != c.Attempt {
-			return false
+			continue
 		}
 		x.inFlight, x.nextTryAt = false, now.Mono+retryFirst
-		if s == nil || s.incarnation != c.Worker || (status != OK && status != RejectedEnded) {
-			return false
+		if s != nil && s.incarnation == c.Worker && (status == OK || status == RejectedEnded) {
+			x.rejectedBy = s.incarnation
+			s.unknown, s.holdNow = max(1, s.unknown), true
 		}
-		s.unknown, s.holdNow = max(1, s.unknown), true
-		return true
-	})
+	}
 }
 
 // dropLateStarts drops the late starts that are not carried out any more.
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -155,20 +155,20 @@
 	var victim string
 	first := domain.TaskID{Job: "j"}
 
-	start := func(payload string) {
+	start := func(payload string, late time.Duration) {
 		w = newWorld(1, 2)
 		for _, s := range w.workers {
 			s.StartsUnderLease = true
 		}
 		w.run(20 * time.Second)
-		w.lateStart = 7 * time.Second
+		w.lateStart = late
 		w.submit(domain.JobSpec{ID: "j", Payload: payload, Steps: []domain.Step{step(1, 1)}})
 		w.run(w.now + 60*time.Millisecond)
 		victim = w.stateMachine.Job("j").Task(first).Worker.ID
 	}
 
 	It("is rejected by a worker that is used again after the attempt was declared lost", func() {
-		start("work=30000")
+		start("work=30000", 7*time.Second)
 		w.cutOff[victim] = true
 		w.run(24 * time.Second)
 		Expect(w.stateMachine.Job("j").Task(first).Attempt).To(Equal(2))
@@ -182,7 +182,7 @@
 	})
 
 	It("is rejected by a later incarnation of a worker on which the attempt has ended", func() {
-		start("work=500")
+		start("work=500", 7*time.Second)
 		w.run(24500 * time.Millisecond)
 		Expect(w.state("j")).To(Equal(domain.JobCompleted))
 		w.replaceWorker(w.worker(victim), 0)
@@ -191,4 +191,17 @@
 		w.run(40 * time.Second)
 		Expect(w.violations).To(BeEmpty())
 	})
+
+	It("is rejected by each later incarnation, also if an earlier one has confirmed that", func() {
+		start("work=500", 9*time.Second)
+		for _, at := range []time.Duration{23 * time.Second, 26 * time.Second} {
+			w.run(at)
+			Expect(w.state("j")).To(Equal(domain.JobCompleted))
+			w.replaceWorker(w.worker(victim), 0) // It is back two seconds later.
+		}
+		w.run(28900 * time.Millisecond)
+		Expect(w.worker(victim).Incarnation.BornMS).To(BeNumerically(">", int64(wallStart+27900)))
+		w.run(40 * time.Second)
+		Expect(w.violations).To(BeEmpty())
+	})
 })
