Record the end of a leader lease with the time at which it expired

Cause: a host recorded lease_ended when it noticed the end. A process that gets no processor for longer than its lease notices late, while another host already leads, so that leader-leases found an overlap that did not exist. The checker allowed for that only where the test had announced a freeze.

Change: the node keeps the expiry of its lease (replica.LeaseEnd) and puts it into the event; the shell and the simulation record an event that has a time with that time. The recorded end is never before the last time at which the host took its lease as valid. The shell uses one reading of the clock for the core and for its events. The checker is stricter: the exception for announced freezes is gone, so a host that records the end too late is found there too. One entry of check_test.go changes for this reason: the late end of a frozen host is now a violation; an entry with the exact end was added.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -112,8 +112,8 @@
 }
 
 // Suspend tells the cell that the host does not hold the leader lease. Until Lead is called, the cell sends no calls,
-// replies or hand-overs and proposes nothing.
-func (c *Cell) Suspend(time.Duration) {
+// replies or hand-overs and proposes nothing. leaseEnded is when the lease ended.
+func (c *Cell) Suspend(leaseEnded time.Duration) {
 	if c.dispatcher == nil || c.dispatcher.suspended {
 		return
 	}
@@ -122,16 +122,21 @@
 		c.dispatcher.unsentCalls = append(c.dispatcher.unsentCalls, call.ID)
 	}
 	c.output.Calls, c.output.HandOvers = nil, nil
-	c.recordEvent(history.Event{Kind: history.LeaseEnded, Group: c.groupName(), Epoch: c.dispatcher.epoch})
+	c.recordLeaseEnded(leaseEnded)
 }
 
-// Follow tells the cell that the host has lost the leadership. Waiting requests are dropped without a reply.
-func (c *Cell) Follow(time.Duration) {
+func (c *Cell) recordLeaseEnded(at time.Duration) {
+	c.recordEvent(history.Event{Time: int64(at), Kind: history.LeaseEnded, Group: c.groupName(), Epoch: c.dispatcher.epoch})
+}
+
+// Follow tells the cell that the host has lost the leadership. Waiting requests are dropped without a reply. leaseEnded
+// is when the lease ended.
+func (c *Cell) Follow(leaseEnded time.Duration) {
 	if c.dispatcher == nil {
 		return
 	}
 	if !c.dispatcher.suspended {
-		c.recordEvent(history.Event{Kind: history.LeaseEnded, Group: c.groupName(), Epoch: c.dispatcher.epoch})
+		c.recordLeaseEnded(leaseEnded)
 	}
 	c.dispatcher = nil
 	c.pending, c.replies = nil, nil
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/mustardwalk/mustardwalk/internal/history"
 	"github.com/mustardwalk/mustardwalk/internal/node"
 )
 
@@ -167,7 +168,8 @@
 		return nil // The request was withdrawn before the core saw it.
 	}
 	began := time.Now()
-	outs := l.core.Handle(l.now(), in)
+	now := began.Sub(l.start)
+	outs := l.core.Handle(now, in)
 	l.metrics.inputHandled(time.Since(began))
 	l.publishReadiness()
 	failed, isFailed := in.(node.PersistFailed)
@@ -176,7 +178,11 @@
 		if isFailed && !allowedAfterFailure(o) {
 			continue
 		}
-		if err := l.carryOut(o, began); err != nil {
+		if r, ok := o.(node.RecordEvent); ok {
+			l.recordEvent(r.Event, began, now)
+			continue
+		}
+		if err := l.carryOut(o); err != nil {
 			return err
 		}
 	}
@@ -195,10 +201,19 @@
 	return false
 }
 
-// carryOut passes an output to its handler. Events are recorded with the time at, when the handling of their input
-// began. The time of writing would be too late: other hosts can already have acted on a message that precedes the event
-// among the outputs.
-func (l *loop) carryOut(o node.Output, at time.Time) error {
+// recordEvent records an event with its own time or, if it has none, with the time began, when the handling of its input
+// began; now is the same time on the core's clock. The time of writing would be too late: other hosts can already have
+// acted on a message that precedes the event among the outputs.
+func (l *loop) recordEvent(e history.Event, began time.Time, now time.Duration) {
+	at := began
+	if e.Time != 0 {
+		at = began.Add(time.Duration(e.Time) - now)
+	}
+	l.out.history.record(e, at)
+}
+
+// carryOut passes an output other than an event to its handler.
+func (l *loop) carryOut(o node.Output) error {
 	switch v := o.(type) {
 	case node.Send:
 		l.out.peers.send(v)
@@ -212,8 +227,6 @@
 		if !l.out.calls.start(v) {
 			l.backlog = append(l.backlog, node.CallDone{ID: v.ID, Cause: "too many calls to endpoints are waiting on this host"})
 		}
-	case node.RecordEvent:
-		l.out.history.record(v.Event, at)
 	case node.Halt:
 		if v.Planned {
 			return errHalted
--- a/internal/daemon/loop_test.go
+++ b/internal/daemon/loop_test.go
@@ -194,6 +194,27 @@
 		Expect(list[0].Time).To(BeNumerically(">=", before))
 	})
 
+	// Guards against a lease that seems to end when the host notices it, because the process got no processor before.
+	It("records an event that has a time on the core's clock with this time", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "history")
+		events, err := newEventRecorder("a1", path, logr.Discard())
+		Expect(err).NotTo(HaveOccurred())
+		l.out.history = events
+		l.start = l.start.Add(-time.Minute)
+		core.answer = func(node.Input) []node.Output {
+			return []node.Output{node.RecordEvent{Event: history.Event{Time: int64(7 * time.Second), Kind: history.LeaseEnded}}}
+		}
+		Expect(l.handle(node.Compact{})).To(Succeed())
+		Expect(events.close()).To(Succeed())
+		written, err := os.Open(path)
+		Expect(err).NotTo(HaveOccurred())
+		defer written.Close()
+		list, err := history.Read(written)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list).To(HaveLen(1))
+		Expect(time.Unix(0, list[0].Time)).To(BeTemporally("~", l.start.Add(7*time.Second), time.Millisecond))
+	})
+
 	// Guards against a withdrawal that reaches the core before its request: the core would keep the request for ever.
 	It("tells the core that a caller hung up only if the core has seen the request", func() {
 		gone, hangUp := context.WithCancel(context.Background())
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -180,10 +180,12 @@
 	Entry("leases: overlap", h.Checker(h.CheckLeases), 1, lease(h.LeaseGranted, 0, "a", 1), lease(h.LeaseGranted, 1.9, "b", 2),
 		lease(h.LeaseEnded, 2, "a", 1)),
 	Entry("leases: two hosts in one epoch", h.Checker(h.CheckLeases), 1, lease(h.LeaseGranted, 0, "a", 1), lease(h.LeaseGranted, 1, "b", 1)),
-	Entry("leases: a frozen host notices late", h.Checker(h.CheckLeases), 0, lease(h.LeaseGranted, 0, "a", 1), fault(1, h.FaultFreeze),
+	Entry("leases: the end of a frozen host is its expiry", h.Checker(h.CheckLeases), 0, lease(h.LeaseGranted, 0, "a", 1), fault(1, h.FaultFreeze),
+		lease(h.LeaseEnded, 1.6, "a", 1), lease(h.LeaseGranted, 1.6, "b", 2)),
+	Entry("leases: a frozen host records the end too late", h.Checker(h.CheckLeases), 1, lease(h.LeaseGranted, 0, "a", 1), fault(1, h.FaultFreeze),
 		lease(h.LeaseGranted, 1.6, "b", 2), lease(h.LeaseEnded, 5, "a", 1)),
 	Entry("leases: taken too early from a frozen host", h.Checker(h.CheckLeases), 1, lease(h.LeaseGranted, 0, "a", 1), fault(1, h.FaultFreeze),
-		lease(h.LeaseGranted, 1.5, "b", 2), lease(h.LeaseEnded, 5, "a", 1)),
+		lease(h.LeaseGranted, 1.5, "b", 2), lease(h.LeaseEnded, 1.6, "a", 1)),
 )
 
 var _ = It("reads a history whose last line was truncated by a kill, and rejects one with a damaged line before the last", func() {
--- a/internal/history/revisions.go
+++ b/internal/history/revisions.go
@@ -86,8 +86,9 @@
 }
 
 // CheckLeases checks that the leader leases of a group do not overlap, that no two hosts hold one in the same epoch,
-// and that epochs grow. A host that is frozen holds its lease for at most LeaderLease after that. Of a lease whose end is
-// not recorded, because its host was killed, only the epoch is checked.
+// and that epochs grow. Hosts record the time at which a lease expired, also if they notice it later, so that a host that
+// gets no processor needs no exception. Of a lease whose end is not recorded, because its host was killed, only the epoch
+// is checked.
 func CheckLeases(events []Event, _ Bounds) []Violation {
 	f := ruleViolations{rule: RuleLeases}
 	groups := leaseSpans(events)
@@ -116,13 +117,8 @@
 func leaseSpans(events []Event) map[string][]*leaseSpan {
 	groups := map[string][]*leaseSpan{}
 	open := map[string]map[string]*leaseSpan{} // By group and host.
-	frozen := map[string]int64{}
 	for _, e := range events {
 		switch e.Kind {
-		case Fault:
-			if e.Message == FaultFreeze {
-				frozen[e.Host] = e.Time
-			}
 		case LeaseGranted:
 			if open[e.Group] == nil {
 				open[e.Group] = map[string]*leaseSpan{}
@@ -139,9 +135,6 @@
 				continue
 			}
 			s.ended, s.to = true, e.Time
-			if at, ok := frozen[e.Host]; ok && at >= s.from {
-				s.to = min(s.to, at+int64(LeaderLease))
-			}
 			delete(open[e.Group], e.Host)
 		}
 	}
--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -51,9 +51,12 @@
 // the lease does not hold but the leadership lasts, and deactivates the state machine once the leadership is lost.
 func (n *Node) syncGroup(now time.Duration, g *group) {
 	leads := g.replica.LeadsUnderLease(now)
-	n.recordLease(g, leads)
+	ended := g.leaseEnded(now)
+	n.recordLease(g, leads, ended)
 	if leads {
-		n.activate(now, g, g.replica.Term())
+		n.activate(now, g, g.replica.Term(), ended)
+		// At least now, so that a host which took an expired lease as valid records the time at which it last did so.
+		g.leaseEnd = max(now, g.replica.LeaseEnd())
 		return
 	}
 	if g.epoch == 0 {
@@ -61,21 +64,28 @@
 	}
 	if g.replica.Status().Role == replica.Leader && g.replica.Term() == g.epoch {
 		if g.cell != nil {
-			g.cell.Suspend(now)
+			g.cell.Suspend(ended)
 		}
 		return
 	}
-	n.deactivate(now, g)
+	n.deactivate(now, g, ended)
+}
+
+// leaseEnded returns when the lease that this host held last ended, if it is lost now. That is not the time at which the
+// host notices the loss: a host that gets no processor for a while notices late. Replies that arrived after the last
+// synchronization may have extended the lease.
+func (g *group) leaseEnded(now time.Duration) time.Duration {
+	return min(now, max(g.leaseEnd, g.replica.LeaseEnd()))
 }
 
 // recordLease records events when the leader lease of the deployment log begins and ends. Cells record their own.
-func (n *Node) recordLease(g *group, leads bool) {
+func (n *Node) recordLease(g *group, leads bool, ended time.Duration) {
 	if g.cell != nil {
 		return
 	}
 	term := g.replica.Term()
 	if g.leaseTerm != 0 && (!leads || g.leaseTerm != term) {
-		n.record(history.Event{Kind: history.LeaseEnded, Group: string(g.id), Epoch: g.leaseTerm})
+		n.record(history.Event{Time: int64(ended), Kind: history.LeaseEnded, Group: string(g.id), Epoch: g.leaseTerm})
 		g.leaseTerm = 0
 	}
 	if leads && g.leaseTerm == 0 {
@@ -85,11 +95,12 @@
 }
 
 // activate makes this host act as the group's leader for a term, once everything that was committed when the lease
-// began is applied: a leader that acts on an older state could start a job twice or put an old revision in force.
-func (n *Node) activate(now time.Duration, g *group, term uint64) {
+// began is applied: a leader that acts on an older state could start a job twice or put an old revision in force. ended
+// is when the lease of an earlier term ended.
+func (n *Node) activate(now time.Duration, g *group, term uint64, ended time.Duration) {
 	if g.epoch != term {
 		if g.epoch != 0 {
-			n.deactivate(now, g)
+			n.deactivate(now, g, ended)
 		}
 		if g.applied < g.replica.CommitIndex() {
 			return
@@ -118,11 +129,11 @@
 
 // deactivate returns the state machine of a group that this host no longer leads to the follower role, and drops the
 // group's open requests.
-func (n *Node) deactivate(now time.Duration, g *group) {
+func (n *Node) deactivate(now time.Duration, g *group, ended time.Duration) {
 	g.epoch, g.offeredRevision, g.nextOfferAt, g.intentRetryAt = 0, 0, 0, 0
 	g.backlog = nil
 	if g.cell != nil {
-		g.cell.Follow(now)
+		g.cell.Follow(ended)
 	} else {
 		n.deploymentLeader.Reset()
 	}
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -139,7 +139,8 @@
 	Call    endpoint.Call
 }
 
-// RecordEvent writes an event to the history and the log.
+// RecordEvent writes an event to the history and the log. Its Time is on the clock of the node, 0 for an event that
+// happened when the input was handled.
 type RecordEvent struct{ Event history.Event }
 
 // Halt ends the process. Planned is true at the end of a planned stop; otherwise Cause names the failure.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	applied         uint64        // Index of the last applied entry.
 	epoch           uint64        // Term for which this host acts as the group's leader (see activate), or 0.
 	leaseTerm       uint64        // Deployment group only: term for which this host holds the leader lease, or 0.
+	leaseEnd        time.Duration // When the lease that this host holds, or held last, expires.
 	lastPersistSeq  uint64        // Seq of the newest Persist output with records of this group.
 	offeredRevision uint64        // Deployment revision last offered to the cell in this epoch.
 	nextOfferAt     time.Duration // When offeredRevision may be offered again.
--- a/internal/nodetest/host.go
+++ b/internal/nodetest/host.go
@@ -189,7 +189,7 @@
 	case node.CallEndpoint:
 		h.callEndpoint(o)
 	case node.RecordEvent:
-		h.world.record(o.Event)
+		h.world.recordAt(o.Event)
 	case node.Halt:
 		h.haltCause = o.Cause
 		if o.Planned && len(h.responses) > 0 {
--- a/internal/nodetest/world.go
+++ b/internal/nodetest/world.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mustardwalk/mustardwalk/internal/cell"
@@ -183,6 +184,19 @@
 	w.History = append(w.History, e)
 }
 
+// recordAt records an event of a host, whose clock is that of the run. The history stays ordered by time.
+func (w *World) recordAt(e history.Event) {
+	if e.Time == 0 {
+		w.record(e)
+		return
+	}
+	i := len(w.History)
+	for i > 0 && w.History[i-1].Time > e.Time {
+		i--
+	}
+	w.History = slices.Insert(w.History, i, e)
+}
+
 // Cut stops messages from one host or worker to another. Only this direction is cut.
 func (w *World) Cut(from, to string) { w.cuts[link{from, to}] = true }
 
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -168,12 +168,18 @@
 
 // LeadsUnderLease reports whether this replica is the leader, holds its lease and has committed an entry of its own
 // term. Then no other replica leads, and the log holds all committed entries.
-func (r *Replica) LeadsUnderLease(now time.Duration) bool {
+func (r *Replica) LeadsUnderLease(now time.Duration) bool { return now < r.LeaseEnd() }
+
+// LeaseEnd returns the time at which the lease of this leader expires or has expired, and 0 without a lease.
+func (r *Replica) LeaseEnd() time.Duration {
 	if r.role != Leader || r.lead.leaseReleased || r.commit < r.lead.noopIndex {
-		return false
+		return 0
 	}
 	at, ok := r.quorumRoundTime()
-	return ok && now < at+r.options.Timing.Lease
+	if !ok {
+		return 0
+	}
+	return at + r.options.Timing.Lease
 }
 
 // matchIndex returns the index up to which a voter is known to hold the log durably.
