--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,19 +29,16 @@
 }
 
 var regressions = []regression{
-	{3, "SIGTERM 10 ms after the start of a program, before it handled signals; the first fault now comes after startupTime", unfixed, false},
+	{3, "SIGTERM 10 ms after the start of a program, before it handled signals; the first fault now comes after startupTime", nil, false},
 	{7, "a worker whose notice of its end was committed but not acknowledged to it ran on, and its tasks started elsewhere",
-		soak.AllKindsBut("worker_leave_unacked"), true},
+		soak.AllKindsBut("worker_leave_unacked"), false},
 	{39, "a worker restarted under its identifier and carried out a repeated start meant for its earlier incarnation; the " +
-		"answer made the leader forget that incarnation, and the task started elsewhere as well", nil, true},
-	{8003, "as seed 39, and more tasks were placed on the worker, as if it were empty", nil, true},
-	{44, "a worker that had restarted under its identifier carried out late starts meant for its earlier incarnation, also of " +
-		"tasks that were done; more tasks were placed on it, as if it were empty", soak.AllKindsBut("worker_crash", "worker_late"), true},
+		"answer made the leader forget that incarnation, and the task started elsewhere as well", nil, false},
+	{8003, "as seed 39, and more tasks were placed on the worker, as if it were empty", nil, false},
+	{44, "a worker that had restarted under its identifier carried out late starts and holds meant for its earlier incarnation: " +
+		"tasks that were done started again", soak.AllKindsBut("worker_crash", "worker_late"), true},
 }
 
-// unfixed are the kinds of faults that bring about the faults in KNOWN-RED.txt, with any seed.
-var unfixed = []string{"worker_leave_unacked", "worker_crash_cut", "worker_late"}
-
 // The specs guard against faults of the whole system that show only between real processes. They run the regression
 // seeds with 9 s of faults; make soak runs more seeds for longer.
 var _ = Describe("the real programs under faults", func() {
