dispatch: a restarted worker gets work once no hold of its earlier incarnation waits there

A hold carries a cursor, up to which the worker forgets its ends. A hold that was meant for an earlier incarnation and waited at the one that restarted under the same identifier made it forget ends that nobody had read; the attempts counted as absent and began again.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -94,7 +94,7 @@
 func (l *Leader) sendHolds(now Time) {
 	for _, s := range l.sessions {
 		w := l.state.Worker(s.incarnation.ID)
-		if w == nil || w.Incarnation != s.incarnation || s.endsInFlight {
+		if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced {
 			continue
 		}
 		busy := len(w.Attempts()) > 0
@@ -127,6 +127,7 @@
 		c.UntilMS = l.extendLease(now, s, l.options.LeaseDuration)
 	}
 	s.holdsInFlight++
+	l.holdsInFlight[w.Incarnation.ID]++
 	l.sendCall(now, w, c)
 }
 
@@ -139,6 +140,8 @@
 	delete(l.callsInFlight, id)
 	s := l.sessions[p.call.Worker.ID]
 	switch {
+	case p.call.Kind == CallHold:
+		l.holdEnded(p.call.Worker.ID)
 	case p.call.Kind == CallStart && r.Status == NoAnswer:
 		l.noteLateStart(p)
 	case p.call.Kind == CallStop:
@@ -197,6 +200,19 @@
 	l.forget(now, s)
 }
 
+// holdEnded counts a hold that is not in flight any more.
+func (l *Leader) holdEnded(worker string) {
+	if l.holdsInFlight[worker]--; l.holdsInFlight[worker] == 0 {
+		delete(l.holdsInFlight, worker)
+	}
+}
+
+// earlierHold tells whether a hold meant for an earlier incarnation of a worker is in flight. Its cursor would make the
+// worker forget ends that nobody has read.
+func (l *Leader) earlierHold(s *session) bool {
+	return l.holdsInFlight[s.incarnation.ID] > s.holdsInFlight
+}
+
 // incarnationReplaced handles an answer of another incarnation with the same identifier. It could also carry out starts
 // that were meant for this one, so the attempts are kept until that one registers, and stopped there.
 func (l *Leader) incarnationReplaced(now Time, s *session) {
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -205,3 +205,27 @@
 		Expect(w.violations).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a hold of an earlier incarnation that is still waiting", func() {
+	It("acknowledges no end of the one that has restarted under its identifier", func() {
+		// The worker forgets the ends up to the cursor of the hold. If it got work at once, nobody would read their ends.
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "before", Payload: "work=100", Steps: []domain.Step{step(8, 1)}})
+		w.run(2 * time.Second)
+		w.submit(domain.JobSpec{ID: "long", Payload: "work=60000", Steps: []domain.Step{step(1, 1)}})
+		w.run(3 * time.Second)
+		w.crash(w.workers[0])
+		w.commitDelay = time.Second // It is registered when a hold meant for the earlier incarnation already waits there.
+		w.run(6500 * time.Millisecond)
+		w.addWorker("i-000", 0)
+		w.run(7600 * time.Millisecond)
+		w.commitDelay = usualCommitDelay
+		w.submit(domain.JobSpec{ID: "after", Payload: "work=100", Steps: []domain.Step{step(3, 1)}})
+		w.run(14 * time.Second)
+		Expect(w.state("after")).To(Equal(domain.JobCompleted))
+		for i := range 3 {
+			Expect(w.stateMachine.Job("after").Task(domain.TaskID{Job: "after", Index: i}).Attempt).To(Equal(1))
+		}
+	})
+})
