Name the refused calls when a test of processes expects none

Cause: "Planned stops" failed with "refused calls: 5" and "Racing operators" with the code "invalid", and the log did not say which calls, why and after what time.

Change: the load keeps a text for each refused submission with its begin, duration and error, and the two tests print what they found. What they require is the same.

--- a/test/load_test.go
+++ b/test/load_test.go
@@ -56,6 +56,7 @@
 	refused  atomic.Int64
 	mu       sync.Mutex
 	problems []string
+	refusals []string // One text for each refused call.
 }
 
 // mixedJob returns job n of a load of short jobs: one in five is a gang of two, one in seven must not be repeated.
@@ -96,9 +97,13 @@
 	call := fmt.Sprintf("%s-%d", l.name, n)
 	r.IdempotencyKey, body.Echo = call, call
 	r.Body, _ = json.Marshal(body)
+	began := time.Now()
 	job, err := l.c.submit(ctx, client, call, l.workspace, r, l.wait)
 	if err != nil {
 		l.refused.Add(1)
+		l.mu.Lock()
+		l.refusals = append(l.refusals, fmt.Sprintf("%s at %s after %v: %v", call, began.UTC().Format("15:04:05.000"), time.Since(began), err))
+		l.mu.Unlock()
 		time.Sleep(refusalPause)
 		return
 	}
--- a/test/operators_test.go
+++ b/test/operators_test.go
@@ -55,7 +55,7 @@
 					if err != nil {
 						var refused *api.Error
 						Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
-						Expect(refused.Code).To(Equal(api.CodeConflict))
+						Expect(refused.Code).To(Equal(api.CodeConflict), "%v %v", refused, refused.Findings)
 						Expect(refused.Status).To(Equal(http.StatusConflict))
 						return
 					}
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -120,7 +120,7 @@
 		l.finish()
 		Expect(t.callsCut()).To(BeEmpty(), "calls that were cut")
 		Expect(t.openCalls).To(BeNumerically(">", 0), "calls that were open at a stop")
-		Expect(l.refused.Load()).To(BeZero(), "refused calls")
+		Expect(l.refusals).To(BeEmpty(), "refused calls")
 		expectOneAnswerEach(c.stopAndCheck())
 	}, SpecTimeout(2*time.Minute))
 })
