Do not refuse a contract for good because a new zone leader misses workers

Cause: after the leaders of the deployment and of a zone have changed, the deployment leader has no earlier topology of the zone, and the zone leader knows only the workers that have announced themselves since. The deployment leader took them for all and refused a change that fits with the definite answer "invalid", not run. Seen with simulated hosts: "1 of 1 gangs ... do not fit zone b ...; the zone has 0 accelerators", with contracts in force that had the same guarantees.

Change: a topology is marked partial until a lease with its margin has passed since its leader began. If a contract does not fit, a topology is partial and the contracts in force do not fit either, the answer is "unavailable", which clients repeat. All other contracts that do not fit are refused as before.

Not covered: the known workers hold the contracts in force but not a larger valid one. With "unavailable" for every finding against a partial topology the tests "guarantees that do not fit" (test/inputs_test.go) failed, because a fresh cluster then gives no definite answer for the first 12 s.

--- a/internal/contract/fit.go
+++ b/internal/contract/fit.go
@@ -13,6 +13,8 @@
 type Topology struct {
 	Zone  string
 	Racks []Rack
+	// Partial is set while the leader of the zone may not know all workers yet.
+	Partial bool
 }
 
 // Rack is a group of adjacent workers.
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -151,10 +151,13 @@
 		return &Response{Error: FindingsError(f)}
 	}
 	if zone := l.unreportedZone(parsed); zone != "" {
-		return &Response{Error: &api.Error{Status: http.StatusServiceUnavailable, Code: api.CodeUnavailable,
-			NotRun: api.NotRunTrue, RetryAfterSeconds: 1, Message: "the workers of zone " + zone + " are not known yet"}}
+		return &Response{Error: workersUnknown(zone)}
 	}
-	if f := contract.CheckFit(l.topologies(), l.contractsWith(parsed)); len(f) > 0 {
+	topologies := l.topologies()
+	if f := contract.CheckFit(topologies, l.contractsWith(parsed)); len(f) > 0 {
+		if zone := l.incompleteZone(topologies); zone != "" {
+			return &Response{Error: workersUnknown(zone)}
+		}
 		return &Response{Error: FindingsError(f)}
 	}
 	if !r.DryRun {
@@ -167,6 +170,29 @@
 	return &Response{Contract: &api.ContractResult{Workspace: r.Apply.Workspace, Effects: contract.Diff(before, parsed)}}
 }
 
+func workersUnknown(zone string) *api.Error {
+	return &api.Error{Status: http.StatusServiceUnavailable, Code: api.CodeUnavailable, NotRun: api.NotRunTrue,
+		RetryAfterSeconds: 1, Message: "the workers of zone " + zone + " are not known yet"}
+}
+
+// incompleteZone returns a zone whose new leader does not know all workers yet, or "". That is certain if the contracts in
+// force do not fit the workers that it knows. A contract that does not fit them either is not to be refused for good.
+func (l *Leader) incompleteZone(topologies []contract.Topology) string {
+	i := slices.IndexFunc(topologies, func(t contract.Topology) bool { return t.Partial })
+	if i < 0 || len(contract.CheckFit(topologies, l.contractsInForce())) == 0 {
+		return ""
+	}
+	return topologies[i].Zone
+}
+
+func (l *Leader) contractsInForce() []*contract.Contract {
+	var out []*contract.Contract
+	for _, name := range l.state.workspaceNames() {
+		out = append(out, l.state.contracts[name].parsed)
+	}
+	return out
+}
+
 // unreportedZone returns a zone of the deployment for which the contract has a guarantee but which has not reported its
 // workers yet, or "". This is the case for a short time after this host became the leader.
 func (l *Leader) unreportedZone(c *contract.Contract) string {
--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -105,7 +105,7 @@
 		if g.applied < g.replica.CommitIndex() {
 			return
 		}
-		g.epoch = term
+		g.epoch, g.epochBeganAt = term, now
 	}
 	if g.cell == nil {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 	desired         bool          // According to the settings, this host is to be a voter.
 	applied         uint64        // Index of the last applied entry.
 	epoch           uint64        // Term for which this host acts as the group's leader (see activate), or 0.
+	epochBeganAt    time.Duration // When this host began to act for epoch.
 	leaseTerm       uint64        // Deployment group only: term for which this host holds the leader lease, or 0.
 	leaseEnd        time.Duration // When the lease that this host holds, or held last, expires.
 	lastPersistSeq  uint64        // Seq of the newest Persist output with records of this group.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -180,6 +180,7 @@
 func (n *Node) reportZone(now time.Duration, g *group) zoneReport {
 	t := g.cell.Tables()
 	topology := topologyOf(t)
+	topology.Partial = now-g.epochBeganAt < n.announceLimit()
 	z := zoneReport{Term: g.epoch, Topology: &topology, Leader: n.settings.Self.ID, SeenAt: now}
 	z.View = cell.ZoneView{Zone: g.zone, Out: t.Service.Out}
 	for _, w := range t.Workers() {
@@ -217,10 +218,16 @@
 	case z.Topology == nil:
 		return true
 	}
-	recent := now-stored.topologyAt < n.settings.Cell.Lease+n.settings.Cell.LeaseMargin
+	recent := now-stored.topologyAt < n.announceLimit()
 	return recent && accelerators(z.Topology) < accelerators(stored.Topology)
 }
 
+// announceLimit is the time in which all workers of a zone have announced themselves to a new leader of its cell, or are
+// lost.
+func (n *Node) announceLimit() time.Duration {
+	return n.settings.Cell.Lease + n.settings.Cell.LeaseMargin
+}
+
 func accelerators(t *contract.Topology) int {
 	total := 0
 	for _, r := range t.Racks {
