--- a/internal/dispatch/late.go
+++ b/internal/dispatch/late.go
@@ -30,15 +30,21 @@
 func (l *Leader) toReject(now Time, s *session) []*lateStart {
 	var out []*lateStart
 	for _, x := range l.lateStarts[s.incarnation.ID] {
-		a := l.attempts[x.task]
-		stopping := a != nil && a.number == x.attempt && a.incarnation == s.incarnation // It is stopped as an attempt.
-		if now.Mono < x.sentAt+lateCallLimit && !stopping && x.rejectedBy != s.incarnation && (x.lost || x.incarnation != s.incarnation) {
+		if now.Mono < x.sentAt+lateCallLimit && x.rejectedBy != s.incarnation && !l.guarded(s, x) {
 			out = append(out, x)
 		}
 	}
 	return out
 }
 
+// guarded tells whether something else keeps an incarnation from carrying out a late start: its attempt is tracked there,
+// or the start was meant for the same incarnation, which remembers the attempts that have ended on it.
+func (l *Leader) guarded(s *session, x *lateStart) bool {
+	a := l.attempts[x.task]
+	tracked := a != nil && a.number == x.attempt && a.incarnation == s.incarnation
+	return tracked || (x.incarnation == s.incarnation && !x.lost)
+}
+
 // rejectLateStarts sends stops for late starts to the workers that answer: a worker rejects a start after its stop.
 func (l *Leader) rejectLateStarts(now Time) {
 	for id := range l.lateStarts {
@@ -65,7 +71,7 @@
 		x.inFlight, x.nextTryAt = false, now.Mono+retryFirst
 		if s != nil && s.incarnation == c.Worker && (status == OK || status == RejectedEnded) {
 			x.rejectedBy = s.incarnation
-			s.unknown, s.holdNow = max(1, s.unknown), true
+			s.unknown, s.holdNow = max(1, s.unknown), true // It may run there already, until a list shows that it does not.
 		}
 	}
 }
