--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -25,7 +25,7 @@
 	folder := kingpin.Flag("folder", "For logs of runs that fail.").Default("soak-failures").String()
 	var options soak.Options
 	kingpin.Flag("faults", "How long faults go on in a run.").Default("30s").DurationVar(&options.FaultDuration)
-	kingpin.Flag("completion", "How long accepted jobs may take to complete after the faults.").Default("60s").DurationVar(&options.CompletionLimit)
+	kingpin.Flag("completion", "How long accepted jobs may take to complete after the faults.").Default("40s").DurationVar(&options.CompletionLimit)
 	kingpin.Flag("program", "Path of mustardwalkd.").Default("bin/mustardwalkd").StringVar(&options.Program)
 	kingpin.Flag("entries", "Entry hosts of a run, each a process.").Default("2").IntVar(&options.Entries)
 	kingpin.Flag("workers", "Workers of a run; 0 for a number that the seed determines.").Default("0").IntVar(&options.Workers)
