dispatch: call each worker that registers early in a leadership before it gets work

Cause: a start of an earlier leader may be carried out up to 12 s late, by the incarnation that restarted under the worker's identifier. Such an incarnation knows no fencing token until the new leader calls it, and an idle worker that had reported its clock was not called.

Change: a leader that finds jobs when it begins holds each worker once that registers in its first 12 s. Until the answer, the worker gets no starts. A late hold of an earlier leader is refused by the same token.

Measured: the test started the task again after its end (27.03 s) without the change, and passes with it; the 100 specs of the package pass.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -104,9 +104,9 @@
 			s.holdNow = false
 			l.sendHold(now, w, s, 0)
 		case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
-		case !busy && !s.hasClock && s.failures == 0:
+		case !busy && (!s.hasClock || s.unfenced) && s.failures == 0:
 			l.sendHold(now, w, s, 0) // The answer contains the clock, so a new leader need not wait for the worker's report.
-		case busy && !s.hasClock:
+		case busy && (!s.hasClock || s.unfenced):
 			l.sendHold(now, w, s, 0)
 		case busy && l.shared(w):
 			l.sendHold(now, w, s, sharedHoldWait)
@@ -299,6 +299,7 @@
 		return
 	}
 	s.ackedCursor = max(s.ackedCursor, p.call.Cursor)
+	s.unfenced = false
 	w := l.state.Worker(s.incarnation.ID)
 	if w == nil || w.Incarnation != s.incarnation {
 		return
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -78,6 +78,8 @@
 	// When this leadership began, on both clocks.
 	beganAt     time.Duration
 	beganWallMS int64
+	// succeedsOthers tells whether earlier leaders may have sent starts: there were jobs when this leadership began.
+	succeedsOthers bool
 }
 
 // pendingCall is a call in flight.
@@ -111,7 +113,7 @@
 		lastCallID:  uint64(now.Mono),
 		adviceCache: newAdviceCache(uint64(now.Mono)),
 		upkeeps:     map[string]*upkeepState{},
-		beganAt:     now.Mono, beganWallMS: now.WallMS,
+		beganAt:     now.Mono, beganWallMS: now.WallMS, succeedsOthers: state.JobCount() > 0,
 	}
 	for _, w := range state.Workers() {
 		s := l.session(w.Incarnation, now)                            // Idle workers get a session too, so that they are asked for their clocks at once.
@@ -161,6 +163,7 @@
 		if incarnation.BornMS <= l.beganWallMS { // An earlier leader may have granted it a lease and forgotten it.
 			s.earlierLeaseEnd = max(s.earlierLeaseEnd, l.beganAt+longest(l.options.LeaseDuration))
 		}
+		s.unfenced = l.succeedsOthers && now.Mono < l.beganAt+lateCallLimit
 		l.sessions[incarnation.ID] = s
 	}
 	return s
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -192,6 +192,18 @@
 		Expect(w.violations).To(BeEmpty())
 	})
 
+	It("of an earlier leader is rejected by an incarnation that registers with the next one", func() {
+		start("work=500", 7*time.Second)
+		w.run(24500 * time.Millisecond)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		w.replaceWorker(w.worker(victim), 0)
+		w.elect() // It knows nothing of starts that were sent before.
+		w.run(26800 * time.Millisecond)
+		Expect(w.worker(victim).Incarnation.BornMS).To(BeNumerically(">", int64(wallStart+26000)))
+		w.run(40 * time.Second)
+		Expect(w.violations).To(BeEmpty())
+	})
+
 	It("is rejected by each later incarnation, also if an earlier one has confirmed that", func() {
 		start("work=500", 9*time.Second)
 		for _, at := range []time.Duration{23 * time.Second, 26 * time.Second} {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -40,10 +40,12 @@
 	unknown int
 	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
 	earlierLeaseEnd time.Duration
-	replaced        bool // Another incarnation with its identifier has answered.
-	leaving         bool // The worker has announced its end; it is forgotten once it has no attempts.
-	gone            bool // It has announced its end, and then nothing listened at its address: it runs nothing any more.
-	forgetInFlight  bool // A command that forgets this incarnation is proposed and not applied yet.
+	// unfenced is set until the worker has answered its first hold, which makes it reject the starts of earlier leaders.
+	unfenced       bool
+	replaced       bool // Another incarnation with its identifier has answered.
+	leaving        bool // The worker has announced its end; it is forgotten once it has no attempts.
+	gone           bool // It has announced its end, and then nothing listened at its address: it runs nothing any more.
+	forgetInFlight bool // A command that forgets this incarnation is proposed and not applied yet.
 }
 
 // clockLowerBound returns a lower bound of the worker's clock: the last reading, advanced at the slowest allowed rate.
