dispatch: acknowledge ends only to an incarnation that has answered since the last failed call

The leader of the next term knew only the earlier incarnation; its first hold carried the cursor of that one, which acknowledged the end unread. The task started elsewhere.

Change: a hold carries a cursor only if the incarnation has answered and no call failed since; else 0, which acknowledges nothing. The simulated world counts acknowledged ends as done.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -122,7 +122,12 @@
 
 // sendHold sends a hold. It renews the lease if the worker has a confirmed attempt and is not silent.
 func (l *Leader) sendHold(now Time, w *domain.Worker, s *session, wait time.Duration) {
-	c := Call{Kind: CallHold, Cursor: w.Cursor, Wait: wait}
+	c := Call{Kind: CallHold, Wait: wait}
+	// Another incarnation may have taken the place of one that has not answered lately. The cursor of the earlier one
+	// would acknowledge ends of the later one that nobody has read.
+	if s.everAnswered && s.failures == 0 {
+		c.Cursor = w.Cursor
+	}
 	if s.hasClock && !s.silent(now.Mono) && !s.leaving && l.hasConfirmedAttempt(w) {
 		c.UntilMS = l.extendLease(now, s, l.options.LeaseDuration)
 	}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -240,4 +240,29 @@
 			Expect(w.stateMachine.Job("after").Task(domain.TaskID{Job: "after", Index: i}).Attempt).To(Equal(1))
 		}
 	})
+
+	It("acknowledges nothing to a worker that has not yet said which incarnation it is", func() {
+		// The restarted worker has carried out a late start. A new leader knows only the earlier incarnation, and the
+		// cursor of that one would acknowledge the end of the late start, which nobody has read.
+		w := newWorld(1, 2)
+		w.run(20 * time.Second)
+		w.submit(domain.JobSpec{ID: "before", Payload: "work=100", Steps: []domain.Step{step(16, 1)}})
+		w.run(21 * time.Second)
+		w.lateStart = 2100 * time.Millisecond
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=500", Steps: []domain.Step{step(1, 1)}})
+		w.run(21060 * time.Millisecond)
+		task := domain.TaskID{Job: "j"}
+		victim := w.worker(w.stateMachine.Job("j").Task(task).Worker.ID)
+		Expect(w.stateMachine.Worker(victim.Incarnation.ID).Cursor).To(BeNumerically(">", 0))
+		w.replaceWorker(victim, 0)
+		w.run(23 * time.Second)
+		w.commitDelay = 2 * time.Second // Delays the registration.
+		w.run(24 * time.Second)
+		w.elect()
+		w.run(25 * time.Second)
+		w.commitDelay = usualCommitDelay
+		w.run(40 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	})
 })
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -46,7 +46,7 @@
 	lastOrder       int
 	starts          int
 	running         map[domain.TaskID]simworker.Event
-	done            map[domain.TaskID]bool // Tasks whose end as done has been committed.
+	done            map[domain.TaskID]bool // Tasks whose end as done has been committed or acknowledged to its worker.
 	gangTimeouts    int
 	callIDs         []uint64 // Identifiers of the calls sent.
 	violations      []string
@@ -66,6 +66,9 @@
 		log: func(string, ...any) {}, answerDelay: func(dispatch.Call, dispatch.Reply) time.Duration { return 0 },
 	}
 	w.gangs.OnEvent = w.observe
+	w.gangs.OnAcknowledged = func(e simworker.Event) {
+		w.done[e.Task] = w.done[e.Task] || e.Outcome == domain.OutcomeDone
+	}
 	config := &domain.Config{Version: 1, Document: []byte("{}"), Pools: []domain.Pool{{Name: "pool"}},
 		Queues:     []domain.Queue{{Name: "q"}, {Name: "advised", PathPrefix: "/a/", Advice: &domain.Advice{CallMS: 40, PerWorkerMS: 2, TicketValidMS: 3000}}},
 		Workspaces: []domain.Workspace{{Name: "w1", Keys: []string{"k1"}, GuaranteedAccelerators: int64(workers * 4)}}}
