dispatch: give a restarted worker no work while a late hold may acknowledge its ends

Change: the leader notes unanswered holds with a cursor. A later incarnation of that worker gets no starts for 12 s after such a hold was sent. A cursor is sent only until the worker has received it, so that most unanswered holds have none.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -124,8 +124,9 @@
 func (l *Leader) sendHold(now Time, w *domain.Worker, s *session, wait time.Duration) {
 	c := Call{Kind: CallHold, Wait: wait}
 	// Another incarnation may have taken the place of one that has not answered lately. The cursor of the earlier one
-	// would acknowledge ends of the later one that nobody has read.
-	if s.everAnswered && s.failures == 0 {
+	// would acknowledge ends of the later one that nobody has read. For the same reason, a cursor is sent only until the
+	// worker has received it.
+	if s.everAnswered && s.failures == 0 && w.Cursor > s.ackedCursor {
 		c.Cursor = w.Cursor
 	}
 	if s.hasClock && !s.silent(now.Mono) && !s.leaving && l.hasConfirmedAttempt(w) {
@@ -147,6 +148,9 @@
 	switch {
 	case p.call.Kind == CallHold:
 		l.holdEnded(p.call.Worker.ID)
+		if r.Status == NoAnswer {
+			l.noteLateAck(p)
+		}
 	case p.call.Kind == CallStart && r.Status == NoAnswer:
 		l.noteLateStart(p)
 	case p.call.Kind == CallStop:
--- a/internal/dispatch/late.go
+++ b/internal/dispatch/late.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -85,3 +86,28 @@
 		}
 	}
 }
+
+// lateAck is a hold with a cursor that was not answered. A later incarnation with the worker's identifier may still carry
+// it out, and then forgets ends that nobody has read.
+type lateAck struct {
+	incarnation domain.WorkerIncarnation
+	sentAt      time.Duration
+}
+
+// noteLateAck notes a hold that was not answered, if it has a cursor.
+func (l *Leader) noteLateAck(p pendingCall) {
+	if p.call.Cursor > 0 && p.sentAt >= l.lateAcks[p.call.Worker.ID].sentAt {
+		l.lateAcks[p.call.Worker.ID] = lateAck{p.call.Worker, p.sentAt}
+	}
+}
+
+// mayLoseEnds tells whether a late hold that was meant for an earlier incarnation may still reach this one.
+func (l *Leader) mayLoseEnds(now Time, s *session) bool {
+	x, late := l.lateAcks[s.incarnation.ID]
+	return late && x.incarnation != s.incarnation && now.Mono < x.sentAt+lateCallLimit
+}
+
+// dropLateAcks drops the late holds that are not carried out any more.
+func (l *Leader) dropLateAcks(now Time) {
+	maps.DeleteFunc(l.lateAcks, func(_ string, x lateAck) bool { return now.Mono >= x.sentAt+lateCallLimit })
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -55,6 +55,7 @@
 	callsInFlight  map[uint64]pendingCall
 	lastCallID     uint64
 	lateStarts     map[string][]*lateStart // By worker.
+	lateAcks       map[string]lateAck      // By worker.
 	holdsInFlight  map[string]int          // Holds in flight by worker, also those meant for an earlier incarnation.
 	// leaseEnds holds when the leases of workers are over whose sessions were dropped. A worker that was forgotten may
 	// still run, and registers again.
@@ -101,6 +102,7 @@
 		unsettled:       map[domain.TaskID]*attemptState{},
 		callsInFlight:   map[uint64]pendingCall{},
 		lateStarts:      map[string][]*lateStart{},
+		lateAcks:        map[string]lateAck{},
 		holdsInFlight:   map[string]int{},
 		leaseEnds:       map[domain.WorkerIncarnation]time.Duration{},
 		readySinceMS:    map[stepKey]int64{},
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -291,7 +291,7 @@
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Incarnation.ID]
 	return s != nil && s.incarnation == w.Incarnation && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
-		!s.ending() && !s.unfenced && s.unknown == 0 && !l.earlierHold(s) && len(l.toReject(now, s)) == 0 && s.hasClock && s.failures == 0 &&
+		!s.ending() && !s.unfenced && s.unknown == 0 && !l.earlierHold(s) && !l.mayLoseEnds(now, s) && len(l.toReject(now, s)) == 0 && s.hasClock && s.failures == 0 &&
 		now.Mono >= s.avoidUntil && l.unheard(now, s) < l.reportLimit()
 }
 
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -265,4 +265,26 @@
 		Expect(w.state("j")).To(Equal(domain.JobCompleted))
 		Expect(w.violations).To(BeEmpty())
 	})
+
+	It("acknowledges no end of a later incarnation when it is carried out late", func() {
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		w.lateAck = 5 * time.Second
+		w.submit(domain.JobSpec{ID: "before", Payload: "work=100", Steps: []domain.Step{step(8, 1)}})
+		for w.lateAck > 0 {
+			w.run(w.now + tickEvery)
+		}
+		w.crash(w.workers[0])
+		w.run(w.now + 300*time.Millisecond)
+		w.addWorker("i-000", 0)
+		w.run(w.now + 2*time.Second)
+		w.submit(domain.JobSpec{ID: "after", Payload: "work=300", Steps: []domain.Step{step(3, 1)}})
+		w.run(w.now + 100*time.Millisecond)
+		w.cutOff["i-000"] = true // The ends, if there are any, are not read before the late hold acknowledges them.
+		w.run(w.now + 4*time.Second)
+		w.heal("i-000")
+		w.run(w.now + 20*time.Second)
+		Expect(w.state("after")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	})
 })
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -162,6 +162,7 @@
 		}
 	}
 	l.dropLateStarts(now)
+	l.dropLateAcks(now)
 	maps.DeleteFunc(l.leaseEnds, func(_ domain.WorkerIncarnation, end time.Duration) bool { return end <= now.Mono })
 	if now.Mono >= l.nextPurgeAt {
 		l.nextPurgeAt = now.Mono + purgeEvery
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -36,6 +36,7 @@
 	cutOff          map[string]bool                                   // Workers that are partitioned from everything else.
 	lateShare       float64                                           // Share of calls, except holds, that are carried out 2 s to 12 s late, unanswered.
 	lateStart       time.Duration                                     // If not 0, the first start is carried out this much late, unanswered.
+	lateAck         time.Duration                                     // If not 0, the next hold with a cursor is carried out this much late, unanswered.
 	answerDelay     func(dispatch.Call, dispatch.Reply) time.Duration // How much an answer is late.
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
@@ -283,6 +284,12 @@
 		w.lateStart = 0
 		return
 	}
+	if c.Kind == dispatch.CallHold && c.Cursor > 0 && w.lateAck > 0 {
+		lost()
+		w.lateCall(c, w.lateAck)
+		w.lateAck = 0
+		return
+	}
 	if c.Kind != dispatch.CallHold && w.random.Float64() < w.lateShare {
 		lost()
 		late := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
