--- a/internal/corehost/store.go
+++ b/internal/corehost/store.go
@@ -12,9 +12,9 @@
 	"github.com/mustardwalk/mustardwalk/internal/wal"
 )
 
-// diskFullRetryDelay is the pause between two attempts to write to a full disk. It is short enough for several attempts
-// within the shortest time limit of an acknowledgement (4 s).
-const diskFullRetryDelay = 250 * time.Millisecond
+// storeRetryDelay is the pause between two attempts to write to a full disk, or without a free file descriptor. It is
+// short enough for several attempts within the shortest time limit of an acknowledgement (4 s).
+const storeRetryDelay = 250 * time.Millisecond
 
 // recordFile is an open data folder, see wal.Log.
 type recordFile interface {
@@ -23,7 +23,7 @@
 	Close() error
 }
 
-// store writes records to the data folder, and waits while the disk is full. Since nothing is acknowledged before it is
+// store writes records to the data folder, and waits while the disk is full or no file descriptor is left. Since nothing is acknowledged before it is
 // synced, a host with a full disk behaves like one with a slow disk, and the other voters continue without it.
 type store struct {
 	file recordFile
@@ -46,22 +46,24 @@
 	return s.persist(ctx, func() error { return s.file.Replace(records) })
 }
 
-// persist repeats a write until the disk has room for it. It reopens the folder before each repetition, which removes
-// the incomplete frame of the failed write.
+// persist repeats a write until the disk has room and a file descriptor is free. After a full disk it reopens the folder
+// before each repetition, which removes the incomplete frame of the failed write.
 func (s *store) persist(ctx context.Context, write func() error) error {
 	began, tries := time.Now(), 1
 	err := write()
-	for ; errors.Is(err, wal.ErrDiskFull); tries++ {
+	for ; errors.Is(err, wal.ErrDiskFull) || errors.Is(err, wal.ErrNoDescriptors); tries++ {
 		if tries == 1 {
-			s.log.Info("disk_full", "cause", err.Error())
+			s.log.Info(waitReason(err), "cause", err.Error())
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(diskFullRetryDelay):
+		case <-time.After(storeRetryDelay):
 		}
-		if err := s.reopen(); err != nil {
-			return err
+		if errors.Is(err, wal.ErrDiskFull) {
+			if err := s.reopen(); err != nil {
+				return err
+			}
 		}
 		err = write()
 	}
@@ -71,6 +73,14 @@
 	return err
 }
 
+// waitReason names the event of a write that has to wait.
+func waitReason(err error) string {
+	if errors.Is(err, wal.ErrNoDescriptors) {
+		return "no_descriptor_for_disk"
+	}
+	return "disk_full"
+}
+
 func (s *store) reopen() error {
 	if err := s.file.Close(); err != nil {
 		return eris.Wrap(err, "closing the data folder of a full disk")
--- a/internal/corehost/store_test.go
+++ b/internal/corehost/store_test.go
@@ -45,6 +45,27 @@
 
 func (d *fillingDisk) Close() error { return nil }
 
+// deprivedFile is a data folder that cannot be rewritten until descriptors are free again.
+type deprivedFile struct {
+	refusals int
+	written  []replica.Record
+}
+
+func (d *deprivedFile) Append(r []replica.Record) error {
+	d.written = append(d.written, r...)
+	return nil
+}
+
+func (d *deprivedFile) Replace(r []replica.Record) error {
+	if d.refusals > 0 {
+		d.refusals--
+		return wal.ErrNoDescriptors
+	}
+	return d.Append(r)
+}
+
+func (d *deprivedFile) Close() error { return nil }
+
 var _ = Describe("The store of a core host", func() {
 	records := []replica.Record{{Group: "domain"}}
 	build := func(fullWrites int, otherFault error) (*store, *[]replica.Record) {
@@ -66,6 +87,14 @@
 		Expect(*written).To(HaveLen(1))
 	}, NodeTimeout(10*time.Second))
 
+	// Guards against a host that ends because calls have taken all file descriptors.
+	It("waits while no file descriptor is left, without opening the folder again", func(ctx SpecContext) {
+		file := &deprivedFile{refusals: 2}
+		s := &store{file: file, log: logr.Discard(), open: func() (recordFile, error) { return nil, errors.New("no descriptor for it either") }}
+		Expect(s.replace(ctx, records)).To(Succeed())
+		Expect(file.written).To(HaveLen(1))
+	}, NodeTimeout(10*time.Second))
+
 	// Guards against a host that continues after a fault that leaves the content of the file unknown.
 	It("returns any other fault at once", func(ctx SpecContext) {
 		fault := errors.New("injected")
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -85,19 +85,36 @@
 	return s.leaseUntilMS
 }
 
-// holdWait is how long a worker delays its answer to a hold while no attempt ends. It is the longest wait that workers
-// allow.
-const holdWait = 2 * time.Second
+// holdWaitMax is how long a worker delays its answer to a hold while no attempt ends. It is the longest wait that
+// workers allow.
+const holdWaitMax = 2 * time.Second
+
+// holdWait returns the wait of a hold. If more workers are busy than holds may wait at the same time, the wait is
+// shorter, so that each worker has its turn within about holdWaitMax.
+func (l *Leader) holdWait() time.Duration {
+	if l.options.LongPolls == 0 || l.busyWorkers <= l.options.LongPolls {
+		return holdWaitMax
+	}
+	return holdWaitMax * time.Duration(l.options.LongPolls) / time.Duration(l.busyWorkers)
+}
 
 // sendHolds keeps one hold in flight to each worker with attempts, acknowledges the last ends of the other workers, and
 // probes those that have not been heard from or have left calls unanswered.
 func (l *Leader) sendHolds(now Time) {
+	busyWorkers := 0
+	defer func() { l.busyWorkers = busyWorkers }()
 	for _, s := range l.sessions {
 		w := l.state.Worker(s.incarnation.ID)
-		if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced {
+		if w == nil || w.Incarnation != s.incarnation {
 			continue
 		}
 		busy := len(w.Attempts()) > 0
+		if busy {
+			busyWorkers++
+		}
+		if s.endsInFlight || s.replaced {
+			continue
+		}
 		unacked := w.Cursor > s.ackedCursor
 		switch {
 		case s.holdNow && s.holdsInFlight < 2 && (busy || unacked || s.unknown > 0) && now.Mono >= s.nextHoldAt:
@@ -111,7 +128,7 @@
 		case busy && l.shared(w):
 			l.sendHold(now, w, s, sharedHoldWait)
 		case busy, s.unknown > 0: // It is answered when an attempt ends.
-			l.sendHold(now, w, s, holdWait)
+			l.sendHold(now, w, s, l.holdWait())
 		case unacked:
 			l.sendHold(now, w, s, 0)
 		case s.failures > 0 && now.Mono-s.reportedAt < l.options.ReportPeriod+reportSlack:
@@ -181,7 +198,14 @@
 		l.unanswered(now, s, a)
 		return
 	}
-	if r.Status == NoAnswer || r.Status == NotListening {
+	if r.Status == NotSent {
+		s.nextHoldAt = now.Mono + retryFirst
+		if a != nil {
+			a.nextTryAt = now.Mono + retryFirst
+		}
+		return
+	}
+	if r.Status == NoAnswer || r.Status == NotListening || r.Status == Unreachable {
 		// Without a notice the worker may only have closed its listener for a while.
 		s.gone = s.gone || (s.leaving && r.Status == NotListening)
 		l.unanswered(now, s, a)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -56,6 +56,7 @@
 	lastCallID     uint64
 	lateStarts     map[string][]*lateStart // By worker.
 	lateAcks       map[string]lateAck      // By worker.
+	busyWorkers    int                     // Workers with attempts, as counted when holds were sent last.
 	holdsInFlight  map[string]int          // Holds in flight by worker, also those meant for an earlier incarnation.
 	// leaseEnds holds when the leases of workers are over whose sessions were dropped. A worker that was forgotten may
 	// still run, and registers again.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -27,6 +27,7 @@
 	ReportPeriod  time.Duration // Period of the workers' reports.
 	Retention     time.Duration // How long ended jobs are kept.
 	RestoreTime   time.Duration // Time that an attempt needs to continue from a checkpoint.
+	LongPolls     int           // How many holds may wait at workers at the same time, 0 for any number.
 	EarlyStart    time.Duration // How much before its due time an occurrence may start.
 	UpkeepTime    time.Duration // How long a machine is down for its upkeep.
 	// MachineLease is how long after one host's last order for a machine another host must wait before it sends its own.
@@ -80,9 +81,11 @@
 	RejectedTicket                  // The ticket is not valid for the start, or no longer.
 	BadCall                         // The worker did not understand the call.
 	NotListening                    // Nothing listens at the worker's address; the call was not delivered.
+	Unreachable                     // There was no connection to the worker; the call was not delivered.
+	NotSent                         // This host made too many calls at once. It tells nothing about the worker.
 )
 
-var statusNames = [...]string{"no_answer", "ok", "fence", "old", "late", "room", "unhealthy", "other_life", "ticket", "bad_call", "not_listening"}
+var statusNames = [...]string{"no_answer", "ok", "fence", "old", "late", "room", "unhealthy", "other_life", "ticket", "bad_call", "not_listening", "unreachable", "not_sent"}
 
 // String returns the name for logs.
 func (s Status) String() string { return statusNames[s] }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -38,6 +38,10 @@
 // holds everything that was synced before. It may be closed and opened again, which cuts off the unfinished frame.
 var ErrDiskFull = eris.New("the disk is full")
 
+// ErrNoDescriptors is returned by Replace when the process or the system has no file descriptor left. Nothing was
+// written, and the log stays usable.
+var ErrNoDescriptors = eris.New("no file descriptor is left")
+
 // State is the content of the folder when it was opened.
 type State struct {
 	Incarnation uint64 // Identity of the folder, 0 for a new folder.
@@ -188,7 +192,11 @@
 	if l.incarnation == 0 {
 		return ErrNoIdentity
 	}
-	return l.fail(l.rewrite(l.incarnation, records))
+	err := l.rewrite(l.incarnation, records)
+	if errors.Is(err, ErrNoDescriptors) {
+		return err
+	}
+	return l.fail(err)
 }
 
 // rewrite writes and syncs a new file, renames it to the current one and syncs the folder.
@@ -199,6 +207,9 @@
 	}
 	out, err := l.files.Create(l.path(newName))
 	if err != nil {
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			return errors.Join(ErrNoDescriptors, err)
+		}
 		return markDiskFull(eris.Wrap(err, "creating a file"))
 	}
 	if err := writeSynced(out, content); err != nil {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -20,6 +20,7 @@
 // faultyFiles injects faults into the file operations of the operating system.
 type faultyFiles struct {
 	osFiles
+	create                      error // Returned by Create.
 	write, sync, rename, folder error // What the operation returns, nil for no fault; folder is for SyncFolder.
 	shortWrite                  bool  // A write stops after half of the data, without an error.
 	freeBytes                   int   // Bytes left on a disk that fills up, if positive.
@@ -32,6 +33,9 @@
 }
 
 func (f *faultyFiles) Create(path string) (file, error) {
+	if f.create != nil {
+		return nil, f.create
+	}
 	out, err := f.osFiles.Create(path)
 	return &faultyFile{out, f}, err
 }
@@ -253,6 +257,22 @@
 		Entry("a sync that finds no room", faultyFiles{sync: syscall.ENOSPC}, true, false),
 	)
 
+	DescribeTable("stays usable when no descriptor is left for a new file", func(cause error) {
+		f := faultyFiles{}
+		l, _, err := open(&f, folder)
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		Expect(l.WriteIdentity(7)).To(Succeed())
+		f.create = cause
+		Expect(l.Replace([]replica.Record{entryRecord("g", 1, "a")})).To(MatchError(ErrNoDescriptors))
+		Expect(l.Append([]replica.Record{entryRecord("g", 1, "a")})).To(Succeed())
+		f.create = nil
+		Expect(l.Replace([]replica.Record{entryRecord("g", 1, "a")})).To(Succeed())
+	},
+		Entry("in the process", syscall.EMFILE),
+		Entry("in the system", syscall.ENFILE),
+	)
+
 	fault := eris.New("injected")
 	DescribeTable("fails all calls after a fault, and keeps what was synced", func(f faultyFiles, replace bool, cause error) {
 		l, _, err := open(&f, folder)
