placement: the cost of a decision follows what fits, not the number of workers per task

Cause: each task of a unit scanned all workers, each gang sorted all workers although few had room, and each member of a preempting gang priced all workers anew, with an allocation and a sort for each of them.

Change: a worker stays the tightest fit for equal tasks as long as they fit. Gangs and reservations consider only workers with room, and give up before sorting if the room is too small in all. A search for vacancies prices each worker once and then only where a task was placed; attempts are ordered by cost once for each worker.

Ruled out: other decisions.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/mustardwalk/mustardwalk/internal/domain"
@@ -30,8 +31,8 @@
 	future             domain.Resources // free, plus the capacity of attempts that are being stopped.
 	placed             map[*Unit]int    // Number of tasks that this decision places on the worker, by unit.
 	addedBestEffortCPU int64            // Processor time that best-effort tasks placed by this decision ask for.
-	attempts           []RunningAttempt
-	attemptsKnown      bool // attempts has been filled.
+	attempts           []RunningAttempt // Ordered by the cost of their stop.
+	attemptsKnown      bool             // attempts has been filled.
 }
 
 // decision is the state of one call of Decide.
@@ -45,6 +46,8 @@
 	emptyReserve         int            // How many empty workers are kept for urgent work.
 	slots                []*slot
 	racks                map[string][]*slot
+	rackNames            []string // Of racks, sorted.
+	limitedDisruption    bool     // Some attempt that was looked at has a limited disruption budget.
 	// emptyInRack counts the usable workers on which nothing runs, by rack.
 	emptyInRack map[string]int
 	plan        Plan
@@ -66,6 +69,7 @@
 		d.slots = append(d.slots, s)
 		d.racks[w.Rack] = append(d.racks[w.Rack], s)
 	}
+	d.rackNames = slices.Sorted(maps.Keys(d.racks))
 	d.emptyReserve = int(emptyReserveShare * float64(len(d.slots)))
 	d.lightLoad = lightLoad(d.slots)
 	units := slices.Clone(v.Units)
@@ -219,8 +223,17 @@
 func (d *decision) placeTasks(u *Unit) {
 	demand := u.step().Demand()
 	var start domain.StartAttempts
+	var last *slot // Where the task before was placed, if it had no failures.
 	for n, index := range u.Indexes {
-		s := d.bestSlot(u, index, demand)
+		failedOn := u.Job.Task(u.task(index)).FailedOn
+		s := last
+		if s == nil || len(failedOn) > 0 || !d.accepts(u, s, demand) {
+			s = d.bestSlot(u, failedOn, demand)
+		}
+		last = nil
+		if len(failedOn) == 0 && !u.step().BestEffort {
+			last = s // It has become the tightest fit for an equal task, as long as that fits.
+		}
 		if s == nil {
 			d.preemptForTasks(u, u.Indexes[n:], demand)
 			break
@@ -235,9 +248,8 @@
 
 // bestSlot returns the best worker with room for a task, or nil. As long as waiting is faster than running elsewhere,
 // it considers only the rack of the task's data.
-func (d *decision) bestSlot(u *Unit, index int, demand domain.Resources) *slot {
+func (d *decision) bestSlot(u *Unit, failedOn []string, demand domain.Resources) *slot {
 	step := u.step()
-	failedOn := u.Job.Task(u.task(index)).FailedOn
 	if step.DataRack != "" {
 		if s := d.bestOf(u, d.racks[step.DataRack], demand, failedOn); s != nil || u.WaitedMS < d.preferredRackWaitMS(u) {
 			return s
@@ -250,7 +262,7 @@
 func (d *decision) bestOf(u *Unit, slots []*slot, demand domain.Resources, failedOn []string) *slot {
 	var best *slot
 	for _, s := range slots {
-		if !demand.Fits(s.free) || !d.eligible(u, s) || d.roomBySpreadLimit(u, s) <= 0 {
+		if !d.accepts(u, s, demand) {
 			continue
 		}
 		if best == nil || d.prefers(u, s, best, failedOn) {
@@ -260,6 +272,11 @@
 	return best
 }
 
+// accepts tells whether a worker has room for one more task of a unit now.
+func (d *decision) accepts(u *Unit, s *slot, demand domain.Resources) bool {
+	return demand.Fits(s.free) && d.eligible(u, s) && d.roomBySpreadLimit(u, s) > 0
+}
+
 // prefers tells whether, of two workers with room for a task, the first is the better one.
 func (d *decision) prefers(u *Unit, a, b *slot, failedOn []string) bool {
 	if u.step().BestEffort {
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -40,10 +40,13 @@
 // reserveRoom withholds the workers that are closest to having room for the members of a gang from units that come
 // later in the order. Otherwise small work would fill each gap before the gang fits.
 func (d *decision) reserveRoom(u *Unit) {
+	if float64(len(d.reserved)+len(u.Indexes)) > maxReservedShare*float64(len(d.slots)) {
+		return
+	}
 	demand := u.step().Demand()
 	for _, slots := range d.reservationGroups(u) {
 		chosen := d.closestToFit(u, slots, demand)
-		if chosen == nil || float64(len(d.reserved)+len(chosen)) > maxReservedShare*float64(len(d.slots)) {
+		if chosen == nil {
 			continue
 		}
 		for _, s := range chosen {
@@ -88,7 +91,7 @@
 		return [][]*slot{d.slots}
 	}
 	var groups [][]*slot
-	for _, rack := range d.rackNames() {
+	for _, rack := range d.rackNames {
 		groups = append(groups, d.racks[rack])
 	}
 	slices.SortStableFunc(groups, func(a, b []*slot) int { return cmp.Compare(freeAccelerators(b), freeAccelerators(a)) })
@@ -107,24 +110,32 @@
 // closestToFit returns a worker for each member, those with the smallest shortage first, or nil if not all members
 // would fit even on empty workers.
 func (d *decision) closestToFit(u *Unit, slots []*slot, demand domain.Resources) []*slot {
-	sorted := slices.Clone(slots)
-	slices.SortStableFunc(sorted, func(a, b *slot) int {
-		return cmp.Or(cmp.Compare(shortage(demand, a), shortage(demand, b)),
+	type candidate struct {
+		*slot
+		shortage float64
+		room     int
+	}
+	var candidates []candidate
+	total := 0
+	for _, s := range slots {
+		if room := min(demand.Copies(s.Total), d.roomBySpreadLimit(u, s)); room > 0 && d.eligible(u, s) {
+			candidates = append(candidates, candidate{s, shortage(demand, s), room})
+			total += room
+		}
+	}
+	if total < len(u.Indexes) {
+		return nil
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.shortage, b.shortage),
 			cmp.Compare(b.future.Accelerators, a.future.Accelerators), cmp.Compare(a.Incarnation.ID, b.Incarnation.ID))
 	})
 	var out []*slot
-	for _, s := range sorted {
-		if !d.eligible(u, s) {
-			continue
-		}
-		room := min(demand.Copies(s.Total), d.roomBySpreadLimit(u, s))
-		for ; room > 0 && len(out) < len(u.Indexes); room-- {
-			out = append(out, s)
+	for _, c := range candidates {
+		for ; c.room > 0 && len(out) < len(u.Indexes); c.room-- {
+			out = append(out, c.slot)
 		}
 	}
-	if len(out) < len(u.Indexes) {
-		return nil
-	}
 	return out
 }
 
@@ -179,7 +190,7 @@
 func (d *decision) packOneRack(u *Unit, failedOn []string) []*slot {
 	var best []*slot
 	var bestFree int64
-	for _, rack := range d.rackNames() {
+	for _, rack := range d.rackNames {
 		slots := d.pack(u, d.racks[rack], failedOn)
 		if slots == nil {
 			continue
@@ -195,20 +206,21 @@
 	return best
 }
 
-func (d *decision) rackNames() []string {
-	names := make([]string, 0, len(d.racks))
-	for r := range d.racks {
-		names = append(names, r)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // pack returns one of the given workers for each member, the fullest workers first, or nil if the members do not all
 // fit.
 func (d *decision) pack(u *Unit, slots []*slot, failedOn []string) []*slot {
 	demand := u.step().Demand()
-	sorted := slices.Clone(slots)
+	sorted := make([]*slot, 0, len(slots))
+	room := 0
+	for _, s := range slots {
+		if n := min(demand.Copies(s.free), d.roomBySpreadLimit(u, s)); n > 0 && d.eligible(u, s) {
+			sorted = append(sorted, s)
+			room += n
+		}
+	}
+	if room < len(u.Indexes) {
+		return nil
+	}
 	slices.SortStableFunc(sorted, func(a, b *slot) int {
 		if d.tighterFit(a, b, failedOn) {
 			return -1
@@ -218,14 +230,13 @@
 	var out []*slot
 	emptyWorkers := d.emptyWorkers
 	for _, s := range sorted {
-		if !d.eligible(u, s) || d.keptForUrgent(u, s, emptyWorkers) {
+		if d.keptForUrgent(u, s, emptyWorkers) {
 			continue
 		}
 		if s.empty() {
 			emptyWorkers--
 		}
-		room := min(demand.Copies(s.free), d.roomBySpreadLimit(u, s))
-		for ; room > 0 && len(out) < len(u.Indexes); room-- {
+		for n := min(demand.Copies(s.free), d.roomBySpreadLimit(u, s)); n > 0 && len(out) < len(u.Indexes); n-- {
 			out = append(out, s)
 		}
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -19,13 +19,16 @@
 	if !u.MayPreempt {
 		return
 	}
+	search := d.newVacancySearch(u, d.preemptionSlots(u), demand)
 	for _, index := range indexes {
-		s, victims := d.cheapestVacancy(u, d.preemptionSlots(u), demand)
-		if s == nil {
+		i := search.cheapest()
+		if i < 0 {
 			return
 		}
-		d.preempt(u.task(index), s, victims)
+		s := search.slots[i]
+		d.preempt(u.task(index), s, d.victims(u, s, demand))
 		d.allocate(u, s, demand)
+		search.changed(i)
 	}
 }
 
@@ -38,7 +41,7 @@
 	groups := [][]*slot{d.preemptionSlots(u)}
 	if u.step().SameRack && u.WaitedMS < d.preferredRackWaitMS(u) && d.someRackFitsWhenEmpty(u) {
 		groups = groups[:0]
-		for _, rack := range d.rackNames() {
+		for _, rack := range d.rackNames {
 			groups = append(groups, d.racks[rack])
 		}
 	}
@@ -87,11 +90,14 @@
 			d.release(u, r.slot, demand)
 		}
 	}()
+	search := d.newVacancySearch(u, slots, demand)
 	for range u.Indexes {
-		s, victims := d.cheapestVacancy(u, slots, demand)
-		if s == nil {
+		i := search.cheapest()
+		if i < 0 {
 			return nil, 0
 		}
+		s := search.slots[i]
+		victims := d.victims(u, s, demand)
 		for _, v := range victims {
 			d.preempted[v.Task] = true
 			s.future = s.future.Plus(v.Demand)
@@ -99,53 +105,95 @@
 		}
 		d.allocate(u, s, demand)
 		vacancies = append(vacancies, vacancy{s, victims})
+		search.changed(i)
 	}
 	return slices.Clone(vacancies), cost
 }
 
-// cheapestVacancy returns the worker on which the least work is discarded for a task to fit, with the attempts to stop,
-// or nil if there is none.
-func (d *decision) cheapestVacancy(u *Unit, slots []*slot, demand domain.Resources) (*slot, []RunningAttempt) {
-	var best *slot
-	var bestVictims []RunningAttempt
-	var bestCost int64
-	for _, s := range slots {
-		if !d.eligible(u, s) || d.roomBySpreadLimit(u, s) <= 0 {
-			continue
-		}
-		victims, cost, ok := d.victims(u, s, demand)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = s, victims, cost
+// vacancySearch finds the workers on which the least work is discarded for the tasks of a unit, one after the other. It
+// keeps the price of each worker, which changes only where a task is placed.
+type vacancySearch struct {
+	decision *decision
+	unit     *Unit
+	slots    []*slot
+	demand   domain.Resources
+	prices   []int64 // By slot, noVacancy if no attempts can make room.
+}
+
+// noVacancy is the price of a worker on which no stops make room.
+const noVacancy = -1
+
+func (d *decision) newVacancySearch(u *Unit, slots []*slot, demand domain.Resources) *vacancySearch {
+	v := &vacancySearch{d, u, slots, demand, make([]int64, len(slots))}
+	for i := range slots {
+		v.prices[i] = v.price(i)
+	}
+	return v
+}
+
+// price returns the cost of the stops that make room for one task on a worker, or noVacancy.
+func (v *vacancySearch) price(i int) int64 {
+	s := v.slots[i]
+	if !v.demand.Fits(s.Total) || !v.decision.eligible(v.unit, s) || v.decision.roomBySpreadLimit(v.unit, s) <= 0 {
+		return noVacancy
+	}
+	cost := int64(0)
+	if !v.decision.eachVictim(v.unit, s, v.demand, func(t *RunningAttempt) { cost += t.cost() }) {
+		return noVacancy
+	}
+	return cost
+}
+
+// cheapest returns the index of the worker with the lowest price, -1 if none has a vacancy.
+func (v *vacancySearch) cheapest() int {
+	best := -1
+	for i, p := range v.prices {
+		if p != noVacancy && (best < 0 || p < v.prices[best]) {
+			best = i
 		}
 	}
-	return best, bestVictims
+	return best
 }
 
-// victims returns the cheapest attempts of lower priority on a worker whose end makes a demand fit, and their cost.
-// It takes them in the order of cost until the demand fits, and reports false if it never does.
-func (d *decision) victims(u *Unit, s *slot, demand domain.Resources) ([]RunningAttempt, int64, bool) {
+// changed updates the prices after a task was placed on a worker. A limited disruption budget, or a unit for which empty
+// workers are withheld, ties the prices of all workers together.
+func (v *vacancySearch) changed(i int) {
+	if !v.decision.limitedDisruption && v.unit.Job.Spec.Priority == 0 {
+		v.prices[i] = v.price(i)
+		return
+	}
+	for i := range v.slots {
+		v.prices[i] = v.price(i)
+	}
+}
+
+// eachVictim calls do for the cheapest attempts of lower priority on a worker, in the order of cost, until their end
+// makes a demand fit. It returns false if that never happens.
+func (d *decision) eachVictim(u *Unit, s *slot, demand domain.Resources, do func(*RunningAttempt)) bool {
 	future := s.future
 	if demand.Fits(future) {
-		return nil, 0, true
+		return true
 	}
-	var candidates []RunningAttempt
-	for _, t := range d.attempts(s) {
-		if t.Priority > u.Job.Spec.Priority && !t.Stopping && !d.preempted[t.Task] && d.withinDisruptionBudget(t) {
-			candidates = append(candidates, t)
+	attempts := d.attempts(s)
+	for i := range attempts {
+		t := &attempts[i]
+		if t.Priority <= u.Job.Spec.Priority || t.Stopping || d.preempted[t.Task] || !d.withinDisruptionBudget(*t) {
+			continue
 		}
-	}
-	slices.SortStableFunc(candidates, func(a, b RunningAttempt) int { return cmp.Compare(a.cost(), b.cost()) })
-	var out []RunningAttempt
-	var cost int64
-	for _, t := range candidates {
-		out = append(out, t)
-		cost += t.cost()
+		do(t)
 		future = future.Plus(t.Demand)
 		if demand.Fits(future) {
-			return out, cost, true
+			return true
 		}
 	}
-	return nil, 0, false
+	return false
+}
+
+// victims returns the attempts to stop on a worker so that a demand fits.
+func (d *decision) victims(u *Unit, s *slot, demand domain.Resources) []RunningAttempt {
+	var out []RunningAttempt
+	d.eachVictim(u, s, demand, func(t *RunningAttempt) { out = append(out, *t) })
+	return out
 }
 
 // withinDisruptionBudget tells whether one more task of an attempt's step may be stopped, besides those stopped so far.
@@ -162,10 +210,14 @@
 	return stopped < t.DisruptionBudget
 }
 
-// attempts returns the attempts on a worker. It asks the view only once for each worker.
+// attempts returns the attempts on a worker, the cheapest to stop first. It asks the view only once for each worker.
 func (d *decision) attempts(s *slot) []RunningAttempt {
 	if !s.attemptsKnown {
-		s.attempts, s.attemptsKnown = d.view.AttemptsOn(s.Worker), true
+		s.attempts, s.attemptsKnown = slices.Clone(d.view.AttemptsOn(s.Worker)), true
+		slices.SortStableFunc(s.attempts, func(a, b RunningAttempt) int { return cmp.Compare(a.cost(), b.cost()) })
+		for i := range s.attempts {
+			d.limitedDisruption = d.limitedDisruption || s.attempts[i].DisruptionBudget != Unlimited
+		}
 	}
 	return s.attempts
 }
