dispatch: look at the workers that changed, not at all of them in each step

Cause: each step of the leader, up to one in 2 ms, went over all sessions three times, and each answer of a worker made the plan anew 10 ms later, although an answer alone changes no room: that is freed when the end is committed.

Change: the leader keeps the sessions that may need a hold and those that are leaving; all are looked at every 50 ms. An answer leads to a plan only if it can change whether its worker gets attempts. A report no longer wakes the leader.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -98,23 +98,32 @@
 	return holdWaitMax * time.Duration(l.options.LongPolls) / time.Duration(l.busyWorkers)
 }
 
+// mayNeedHold notes that a session has changed in a way that may require a hold.
+func (l *Leader) mayNeedHold(s *session) { l.toHold[s] = struct{}{} }
+
+// watchHolds notes all sessions, for what becomes due by the passing of time alone, and counts the busy workers.
+func (l *Leader) watchHolds() {
+	l.busyWorkers = 0
+	for _, s := range l.sessions {
+		l.mayNeedHold(s)
+		if w := l.state.Worker(s.incarnation.ID); w != nil && len(w.Attempts()) > 0 {
+			l.busyWorkers++
+		}
+	}
+}
+
 // sendHolds keeps one hold in flight to each worker with attempts, acknowledges the last ends of the other workers, and
 // probes those that have not been heard from or have left calls unanswered.
 func (l *Leader) sendHolds(now Time) {
-	busyWorkers := 0
-	defer func() { l.busyWorkers = busyWorkers }()
-	for _, s := range l.sessions {
+	for s := range l.toHold {
+		if now.Mono >= s.nextHoldAt {
+			delete(l.toHold, s)
+		}
 		w := l.state.Worker(s.incarnation.ID)
-		if w == nil || w.Incarnation != s.incarnation {
+		if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced {
 			continue
 		}
 		busy := len(w.Attempts()) > 0
-		if busy {
-			busyWorkers++
-		}
-		if s.endsInFlight || s.replaced {
-			continue
-		}
 		unacked := w.Cursor > s.ackedCursor
 		switch {
 		case s.holdNow && s.holdsInFlight < 2 && (busy || unacked || s.unknown > 0) && now.Mono >= s.nextHoldAt:
@@ -162,6 +171,11 @@
 	}
 	delete(l.callsInFlight, id)
 	s := l.sessions[p.call.Worker.ID]
+	if s != nil {
+		l.mayNeedHold(s)
+		// Only then can the answer change whether the worker gets new attempts. Ends that it lists count once committed.
+		l.dirty = l.dirty || s.unknown > 0 || s.failures > 0 || !s.hasClock || s.unfenced || s.incarnation != p.call.Worker || r.Status != OK
+	}
 	switch {
 	case p.call.Kind == CallHold:
 		l.holdEnded(p.call.Worker.ID)
@@ -222,7 +236,6 @@
 	} else if a != nil {
 		l.startOrStopAnswered(now, s, a, p, r)
 	}
-	l.dirty = true
 }
 
 // incarnationOver proposes to forget a worker's incarnation after another one has answered at its address.
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -56,7 +56,10 @@
 	lastCallID     uint64
 	lateStarts     map[string][]*lateStart // By worker.
 	lateAcks       map[string]lateAck      // By worker.
-	busyWorkers    int                     // Workers with attempts, as counted when holds were sent last.
+	// toHold has the sessions that may need a hold now. The others are looked at every watchEvery only.
+	toHold         map[*session]struct{}
+	leaving        map[*session]struct{}   // Sessions of workers that have announced their end.
+	busyWorkers    int                     // Workers with attempts, as counted at the last watch.
 	holdsInFlight  map[string]int          // Holds in flight by worker, also those meant for an earlier incarnation.
 	// leaseEnds holds when the leases of workers are over whose sessions were dropped. A worker that was forgotten may
 	// still run, and registers again.
@@ -104,6 +107,8 @@
 		callsInFlight:   map[uint64]pendingCall{},
 		lateStarts:      map[string][]*lateStart{},
 		lateAcks:        map[string]lateAck{},
+		toHold:          map[*session]struct{}{},
+		leaving:         map[*session]struct{}{},
 		holdsInFlight:   map[string]int{},
 		leaseEnds:       map[domain.WorkerIncarnation]time.Duration{},
 		readySinceMS:    map[stepKey]int64{},
@@ -168,6 +173,7 @@
 		}
 		s.unfenced = l.succeedsOthers && now.Mono < l.beganAt+lateCallLimit
 		l.sessions[incarnation.ID] = s
+		l.mayNeedHold(s)
 	}
 	return s
 }
@@ -178,6 +184,9 @@
 // WorkerReported handles a report of a registered worker.
 func (l *Leader) WorkerReported(now Time, incarnation domain.WorkerIncarnation, clockMS int64) {
 	s := l.session(incarnation, now)
+	if l.unheard(now, s) >= l.reportLimit() || !s.hasClock {
+		l.dirty = true // It may become usable.
+	}
 	s.reportedAt = now.Mono
 	s.learnClock(now.Mono, clockMS)
 }
@@ -190,6 +199,7 @@
 		return
 	}
 	s.leaving = true
+	l.leaving[s] = struct{}{}
 	l.options.Log("worker_leaving", "worker", incarnation.ID, "born_ms", incarnation.BornMS,
 		"attempts", len(l.state.Worker(incarnation.ID).Attempts()))
 	for _, a := range l.attempts {
@@ -205,9 +215,13 @@
 // forgetLeaving proposes to forget the leaving workers that run nothing any more: those that have no attempts, and those
 // that have ended. Ends that such a worker has listed are committed first.
 func (l *Leader) forgetLeaving(now Time) {
-	for _, s := range l.sessions {
+	for s := range l.leaving {
 		w := l.state.Worker(s.incarnation.ID)
-		if !s.leaving || w == nil || w.Incarnation != s.incarnation || s.endsInFlight {
+		if w == nil || w.Incarnation != s.incarnation {
+			delete(l.leaving, s)
+			continue
+		}
+		if s.endsInFlight {
 			continue
 		}
 		if len(w.Attempts()) == 0 || (s.gone && s.holdsInFlight == 0) {
@@ -238,6 +252,7 @@
 		if s := l.sessions[c.End.Worker.ID]; s != nil && s.incarnation == c.End.Worker {
 			s.endsInFlight, s.lossInFlight = false, false
 			s.nextHoldAt = now.Mono
+			l.mayNeedHold(s)
 		}
 		for _, e := range c.End.Ends {
 			l.attemptEnded(now, e)
@@ -267,6 +282,7 @@
 		return
 	}
 	tracked := l.adopt(a.Task, t.Attempt, a.Worker, now)
+	l.mayNeedHold(l.session(a.Worker, now))
 	if l.session(a.Worker, now).leaving { // The notice came while the start was being committed.
 		l.abandon(tracked, reasonLeaving)
 	}
@@ -381,6 +397,7 @@
 		if w := l.state.Worker(id); w == nil || w.Incarnation != s.incarnation {
 			l.leaseEnds[s.incarnation] = s.leaseEnd()
 			delete(l.sessions, id)
+			delete(l.toHold, s)
 		}
 	}
 }
@@ -398,6 +415,7 @@
 		l.expireLeases(now)
 		l.releaseDueOccurrences(now)
 		l.housekeeping(now)
+		l.watchHolds()
 	}
 	l.forgetLeaving(now)
 	l.advanceWaves(now)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -41,8 +41,10 @@
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
 	log             func(event string, kv ...any)
-	onLoss          func() // Called when a command that declares attempts lost is proposed.
-	releases        int    // Proposed commands that add occurrences.
+	onLoss          func()        // Called when a command that declares attempts lost is proposed.
+	tickTime        time.Duration // Real time that the leader's decisions have taken.
+	longestTick     time.Duration
+	releases        int // Proposed commands that add occurrences.
 	queue           events
 	lastOrder       int
 	starts          int
@@ -180,7 +182,10 @@
 		s.Advance(w.now)
 	}
 	leader := w.leader
+	began := time.Now()
 	out := leader.Tick(w.time())
+	took := time.Since(began)
+	w.tickTime, w.longestTick = w.tickTime+took, max(w.longestTick, took)
 	for _, c := range out.Commands {
 		w.commit(c)
 	}
