dispatch: place work only on workers that have answered in the last 250 ms

Change: a plan is carried out where the workers have answered within 250 ms. The others get a hold that is answered at once; the next plan, some 10 ms later, goes there or elsewhere. A worker that leaves such a hold unanswered for 100 ms gets nothing new. Preemptions wait for it too.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -126,7 +126,7 @@
 		busy := len(w.Attempts()) > 0
 		unacked := w.Cursor > s.ackedCursor
 		switch {
-		case s.holdNow && s.holdsInFlight < 2 && (busy || unacked || s.unknown > 0) && now.Mono >= s.nextHoldAt:
+		case s.holdNow && s.holdsInFlight < 2 && (busy || unacked || s.unknown > 0 || s.probing) && now.Mono >= s.nextHoldAt:
 			s.holdNow = false
 			l.sendHold(now, w, s, 0)
 		case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
@@ -174,7 +174,8 @@
 	if s != nil {
 		l.mayNeedHold(s)
 		// Only then can the answer change whether the worker gets new attempts. Ends that it lists count once committed.
-		l.dirty = l.dirty || s.unknown > 0 || s.failures > 0 || !s.hasClock || s.unfenced || s.incarnation != p.call.Worker || r.Status != OK
+		l.dirty = l.dirty || s.unknown > 0 || s.failures > 0 || !s.hasClock || s.unfenced || s.incarnation != p.call.Worker || s.probing || r.Status != OK
+		s.probing = false // It has answered, or its failure keeps work away from it.
 	}
 	switch {
 	case p.call.Kind == CallHold:
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -57,10 +57,10 @@
 	lateStarts     map[string][]*lateStart // By worker.
 	lateAcks       map[string]lateAck      // By worker.
 	// toHold has the sessions that may need a hold now. The others are looked at every watchEvery only.
-	toHold         map[*session]struct{}
-	leaving        map[*session]struct{}   // Sessions of workers that have announced their end.
-	busyWorkers    int                     // Workers with attempts, as counted at the last watch.
-	holdsInFlight  map[string]int          // Holds in flight by worker, also those meant for an earlier incarnation.
+	toHold        map[*session]struct{}
+	leaving       map[*session]struct{} // Sessions of workers that have announced their end.
+	busyWorkers   int                   // Workers with attempts, as counted at the last watch.
+	holdsInFlight map[string]int        // Holds in flight by worker, also those meant for an earlier incarnation.
 	// leaseEnds holds when the leases of workers are over whose sessions were dropped. A worker that was forgotten may
 	// still run, and registers again.
 	leaseEnds       map[domain.WorkerIncarnation]time.Duration
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -38,6 +38,7 @@
 	l.askAdvice(now, units, v.Workers)
 	v.AttemptsOn = func(w *placement.Worker) []placement.RunningAttempt { return l.attemptsOn(now, w.Incarnation.ID) }
 	p := placement.Decide(v)
+	l.confirmReachable(now, &p)
 	for _, s := range p.Preemptions {
 		if a := l.attempts[s.Task]; a != nil && !a.stopWanted {
 			l.options.Observer.AttemptPreempted(l.state.Job(s.Task.Job).Spec.Priority)
@@ -291,7 +292,7 @@
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Incarnation.ID]
 	return s != nil && s.incarnation == w.Incarnation && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
-		!s.ending() && !s.unfenced && s.unknown == 0 && !l.earlierHold(s) && !l.mayLoseEnds(now, s) && len(l.toReject(now, s)) == 0 && s.hasClock && s.failures == 0 &&
+		!s.ending() && !s.unfenced && s.unknown == 0 && !l.earlierHold(s) && !l.mayLoseEnds(now, s) && len(l.toReject(now, s)) == 0 && s.hasClock && s.failures == 0 && !s.probeUnanswered(now) &&
 		now.Mono >= s.avoidUntil && l.unheard(now, s) < l.reportLimit()
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -32,6 +32,8 @@
 	lossInFlight  bool          // That command declares all its attempts lost: none may be started, and no lease renewed.
 	ackedCursor   int64         // Highest cursor that the worker has received.
 	holdNow       bool          // A hold that is answered at once is to be sent.
+	probing       bool          // A hold shows whether the worker can be reached; work waits for its answer.
+	probedAt      time.Duration // When that was asked for.
 	failedInARow  int           // Consecutive failures that count against the worker.
 	avoidUntil    time.Duration // Until then, the worker gets no new attempts.
 	listClockMS   int64         // The worker's clock at its newest lists.
