dispatch: a draining worker hands over what cannot finish before it ends

Change: the report has the worker listed at once; attempts that by their progress or run time end later than the worker are stopped with a checkpoint and continue elsewhere. What ends in time is left alone.

Ruled out: taking a refused connection of a draining worker for its end. A partition may refuse connections too, and two runs of one task would be possible.

The first spec fails without the change.

--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -231,6 +231,9 @@
 		r = h.commitOperation(ctx, now, &domain.Command{Register: op.Worker})
 	}
 	if w := h.stateMachine.Worker(op.Worker.Incarnation.ID); h.leader != nil && w != nil && w.Incarnation == op.Worker.Incarnation {
+		if op.Worker.Draining && op.Worker.LeavesInMS > 0 {
+			h.leader.WorkerDrains(now, w.Incarnation, time.Duration(op.Worker.LeavesInMS)*time.Millisecond)
+		}
 		h.leader.WorkerReported(now, w.Incarnation, op.ClockMS) // What follows from it is done at the next tick.
 	}
 	return r
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -365,6 +365,7 @@
 	if !overtaken {
 		s.listClockMS, s.unknown = r.ClockMS, unknown
 	}
+	l.handOver(now, s, w)
 	l.adjustPace(now, w)
 	ends := l.newEnds(now, w, s, r, listed)
 	cursor := w.Cursor
--- /dev/null
+++ b/internal/dispatch/drain_test.go
@@ -0,0 +1,50 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/simworker"
+)
+
+// drain makes a worker report that it drains, and ends it without another word when its time is over.
+func (w *world) drain(s *simworker.Worker, left time.Duration) {
+	reg := *w.stateMachine.Worker(s.Incarnation.ID)
+	reg.Draining, reg.LeavesInMS = true, left.Milliseconds()
+	w.commit(&domain.Command{Register: &reg})
+	w.at(w.now+w.commitDelay+networkDelay, func() { w.leader.WorkerDrains(w.time(), s.Incarnation, left) })
+	w.at(w.now+left, func() { w.crash(s) })
+}
+
+var _ = Describe("a worker that ends soon", func() {
+	var w *world
+	victim := func() *simworker.Worker {
+		return w.worker(w.stateMachine.Job("j").Task(domain.TaskID{Job: "j"}).Worker.ID)
+	}
+
+	BeforeEach(func() {
+		w = newWorld(1, 12)
+		w.run(time.Second)
+	})
+
+	It("hands work over that would end with it, before its lease is over", func() {
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=5000", Steps: []domain.Step{step(4, 8)}})
+		w.run(3 * time.Second)
+		w.drain(victim(), 2*time.Second)
+		w.run(9500 * time.Millisecond) // Its lease ends after 13 s.
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	})
+
+	It("lets work finish that ends in time", func() {
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=3000", Steps: []domain.Step{step(1, 8)}})
+		w.run(3500 * time.Millisecond)
+		w.drain(victim(), 2*time.Second)
+		w.run(7 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.starts).To(Equal(1))
+	})
+})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -44,10 +44,11 @@
 	earlierLeaseEnd time.Duration
 	// unfenced is set until the worker has answered its first hold, which makes it reject the starts of earlier leaders.
 	unfenced       bool
-	replaced       bool // Another incarnation with its identifier has answered.
-	leaving        bool // The worker has announced its end; it is forgotten once it has no attempts.
-	gone           bool // It has announced its end, and then nothing listened at its address: it runs nothing any more.
-	forgetInFlight bool // A command that forgets this incarnation is proposed and not applied yet.
+	replaced       bool          // Another incarnation with its identifier has answered.
+	leaving        bool          // The worker has announced its end; it is forgotten once it has no attempts.
+	gone           bool          // It has announced its end, and then nothing listened at its address: it runs nothing any more.
+	leavesAt       time.Duration // Earliest end of a draining worker, as it has reported; 0 if it has not.
+	forgetInFlight bool          // A command that forgets this incarnation is proposed and not applied yet.
 }
 
 // clockLowerBound returns a lower bound of the worker's clock: the last reading, advanced at the slowest allowed rate.
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -301,6 +301,9 @@
 	Draining    bool              `cbor:"8,keyasint,omitempty"`
 	Cursor      int64             `cbor:"9,keyasint,omitempty"`  // Number of the last committed end in the worker's list.
 	Machine     string            `cbor:"10,keyasint,omitempty"` // Machine that it runs on, empty if not reported.
+	// LeavesInMS is the shortest time until a draining worker ends, as of the report; 0 if it is not stated. A report that
+	// changes nothing else is not stored.
+	LeavesInMS int64 `cbor:"11,keyasint,omitempty"`
 
 	// Derived from the tasks, not part of a snapshot.
 	attempts map[TaskID]int // Numbers of the attempts that may be present on the worker.
