dispatch: find work that stands still by its own run time, and avoid all workers of a gang that does

Any attempt had five seconds, twice the run time of an urgent task, and of a gang one arbitrary member's worker was avoided, so that the gang met the faulty one again: 22 of the urgent gangs of three seconds were stopped for it, up to 12 s after their start.

Change: an attempt may show no progress in the lists for 1.2 s and 0.3 times its run time, at most 5 s as before, counted from when all members of its gang run. All workers of a gang are avoided that have completed nothing since it began. The members of a step are found by their names, no longer among all attempts.

The spec fails without the change.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -393,6 +393,7 @@
 		a.startConfirmed, a.confirmedAt = true, now.Mono
 		l.settle(a)
 	}
+	a.listedAt = now.Mono
 	if t.Percent != a.percent {
 		a.percent, a.progressAt = t.Percent, now.Mono
 	}
@@ -443,7 +444,7 @@
 		"outcome", e.Outcome.String(), "ran_ms", (now.Mono - a.adoptedAt).Milliseconds(), "reason", a.reason)
 	switch e.Outcome {
 	case domain.OutcomeDone:
-		s.failedInARow, s.avoidUntil = 0, 0
+		s.failedInARow, s.avoidUntil, s.doneAt = 0, 0, now.Mono
 	case domain.OutcomeFailed:
 		j := l.state.Job(e.Task.Job)
 		if j == nil {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -25,6 +25,7 @@
 	stopConfirmed  bool          // The worker has confirmed the stop, or that it will not run the attempt.
 	percent        int           // Progress that the worker listed last, -1 before the first list.
 	progressAt     time.Duration // When percent last changed.
+	listedAt       time.Duration // When the worker last listed it.
 	checkpoint     string        // Newest checkpoint that the worker has listed.
 	load           int64         // As the worker listed it last, see RunningTask.Load.
 	pace           int           // Pace that was sent last, in percent.
@@ -350,9 +351,15 @@
 
 // stopJob requests the stop of all attempts of a job.
 func (l *Leader) stopJob(id domain.JobID, reason string) {
-	for t, a := range l.attempts {
-		if t.Job == id {
-			l.requestStop(a, reason)
+	j := l.state.Job(id)
+	if j == nil {
+		return
+	}
+	for k := range j.Occurrences {
+		for s := range j.Spec.Steps {
+			for _, a := range l.members(domain.TaskID{Job: id, Occurrence: k, Step: s}) {
+				l.requestStop(a, reason)
+			}
 		}
 	}
 }
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -298,6 +298,19 @@
 		Expect(w.state("j")).To(Equal(domain.JobCompleted))
 	})
 
+	It("moves a short gang that stands still before twice its run time is over, and to other workers", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=2500 gang=4", Steps: []domain.Step{gang(4, 8)}})
+		w.run(1200 * time.Millisecond)
+		for _, s := range w.workers {
+			s.StallAttempts = s.Running() > 0
+		}
+		w.run(8 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	})
+
 	It("does not let a worker that fails everything use up the attempts of many jobs", func() {
 		w := newWorld(1, 6)
 		w.workers[0].FailAttempts = true
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -34,6 +34,7 @@
 	holdNow       bool          // A hold that is answered at once is to be sent.
 	probing       bool          // A hold shows whether the worker can be reached; work waits for its answer.
 	probedAt      time.Duration // When that was asked for.
+	doneAt        time.Duration // When an attempt on it last ended as done.
 	failedInARow  int           // Consecutive failures that count against the worker.
 	avoidUntil    time.Duration // Until then, the worker gets no new attempts.
 	listClockMS   int64         // The worker's clock at its newest lists.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -13,8 +13,11 @@
 	// gangStartShare is the share of Options.GangWait after which an incomplete gang is stopped, before its members on the
 	// workers give up and end with domain.OutcomeGangTimeout.
 	gangStartShare = 0.5
-	// stallLimit is for how long an attempt may show no progress. Holds are answered every two seconds and show progress
-	// in whole percents.
+	// An attempt may show no progress for stallBase and stallShare of its expected run time, at most for stallLimit. Holds
+	// are answered every two seconds and show progress in whole percents, so a short attempt that stands still shows it
+	// in the second list, and a long one on a worker that is ten times slower still makes a percent in time.
+	stallBase  = 1200 * time.Millisecond
+	stallShare = 0.3
 	stallLimit = 5 * time.Second
 )
 
@@ -37,9 +40,69 @@
 
 // stopGang requests the stop of all members of a gang.
 func (l *Leader) stopGang(id domain.TaskID, reason string) {
-	for t, a := range l.attempts {
-		if keyOf(t) == keyOf(id) {
-			l.requestStop(a, reason)
+	for _, a := range l.members(id) {
+		l.requestStop(a, reason)
+	}
+}
+
+// members returns the attempts of the step of a task.
+func (l *Leader) members(id domain.TaskID) []*attemptState {
+	j := l.state.Job(id.Job)
+	if j == nil {
+		return nil
+	}
+	var out []*attemptState
+	for id.Index = range j.Spec.Steps[id.Step].Count {
+		if a := l.attempts[id]; a != nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// stallLimitFor returns for how long the lists of a worker may show no progress of an attempt.
+func (l *Leader) stallLimitFor(id domain.TaskID) time.Duration {
+	j := l.state.Job(id.Job)
+	if j == nil {
+		return stallLimit
+	}
+	run := milliseconds(l.runTimeMS(j, &j.Spec.Steps[id.Step]))
+	return min(stallLimit, stallBase+time.Duration(stallShare*float64(run)))
+}
+
+// stalled reports whether an attempt shows no progress although all members of its gang run. The lists of a worker show
+// it, or nothing has been seen of it for stallLimit.
+func (l *Leader) stalled(now Time, a *attemptState) bool {
+	if now.Mono-a.progressAt >= stallLimit {
+		return true
+	}
+	if a.listedAt-a.progressAt < stallBase || a.pace < paceFull {
+		return false
+	}
+	limit := l.stallLimitFor(a.task)
+	if a.listedAt-a.progressAt < limit {
+		return false
+	}
+	if !l.isGang(a.task) {
+		return true
+	}
+	for _, m := range l.members(a.task) {
+		if !m.startConfirmed || a.listedAt-m.confirmedAt < limit {
+			return false
+		}
+	}
+	return true
+}
+
+// avoidMembers avoids the workers of an attempt, or of all members of its gang, that have completed nothing since it
+// began. Which of them keeps the gang from working is not known.
+func (l *Leader) avoidMembers(now Time, a *attemptState) {
+	for _, m := range l.members(a.task) {
+		if m != a && !l.isGang(a.task) {
+			continue
+		}
+		if s := l.sessions[m.incarnation.ID]; s != nil && s.incarnation == m.incarnation && s.doneAt < m.adoptedAt {
+			s.avoid(now.Mono)
 		}
 	}
 }
@@ -47,7 +110,7 @@
 // watchProgress stops attempts that make no progress. A gang is stopped as a whole.
 func (l *Leader) watchProgress(now Time) {
 	for id, a := range l.attempts {
-		if !a.startConfirmed || a.stopWanted || now.Mono-a.progressAt < stallLimit {
+		if !a.startConfirmed || a.stopWanted || !l.stalled(now, a) {
 			continue
 		}
 		s := l.sessions[a.incarnation.ID]
@@ -63,7 +126,7 @@
 			l.abandon(a, "no progress at a reduced pace") // Another worker may have more unused processor time for it.
 			continue
 		}
-		s.avoid(now.Mono)
+		l.avoidMembers(now, a)
 		l.abandon(a, "no progress")
 	}
 }
