dispatch: a new leader calls the workers a part at a time

Change: at most 128 holds are in flight to workers that have not answered this leader yet, to workers with attempts first.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -98,6 +98,11 @@
 	return holdWaitMax * time.Duration(l.options.LongPolls) / time.Duration(l.busyWorkers)
 }
 
+// maxContactsInFlight bounds the holds in flight to workers that have not answered this leader yet. If a leader that has
+// just begun called all workers at once, its heartbeats would wait behind these calls until its leadership is lost again.
+// With a quarter of 1,100 workers not answering for 0.6 s, all have been called after 1.3 s.
+const maxContactsInFlight = 128
+
 // mayNeedHold notes that a session has changed in a way that may require a hold.
 func (l *Leader) mayNeedHold(s *session) { l.toHold[s] = struct{}{} }
 
@@ -115,35 +120,57 @@
 // sendHolds keeps one hold in flight to each worker with attempts, acknowledges the last ends of the other workers, and
 // probes those that have not been heard from or have left calls unanswered.
 func (l *Leader) sendHolds(now Time) {
+	var idleContacts []*session
 	for s := range l.toHold {
-		if now.Mono >= s.nextHoldAt {
-			delete(l.toHold, s)
-		}
-		w := l.state.Worker(s.incarnation.ID)
-		if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced {
-			continue
-		}
-		busy := len(w.Attempts()) > 0
-		unacked := w.Cursor > s.ackedCursor
-		switch {
-		case s.holdNow && s.holdsInFlight < 2 && (busy || unacked || s.unknown > 0 || s.probing) && now.Mono >= s.nextHoldAt:
-			s.holdNow = false
-			l.sendHold(now, w, s, 0)
-		case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
-		case !busy && (!s.hasClock || s.unfenced) && s.failures == 0:
-			l.sendHold(now, w, s, 0) // The answer contains the clock, so a new leader need not wait for the worker's report.
-		case busy && (!s.hasClock || s.unfenced):
-			l.sendHold(now, w, s, 0)
-		case busy && l.shared(w):
-			l.sendHold(now, w, s, sharedHoldWait)
-		case busy, s.unknown > 0: // It is answered when an attempt ends.
-			l.sendHold(now, w, s, l.holdWait())
-		case unacked:
-			l.sendHold(now, w, s, 0)
-		case s.failures > 0 && now.Mono-s.reportedAt < l.options.ReportPeriod+reportSlack:
-			l.sendHold(now, w, s, 0) // It reports, but only a call shows whether it can be reached again.
+		if !s.everAnswered && !l.isBusy(s) {
+			idleContacts = append(idleContacts, s)
+		} else {
+			l.sendHoldIfDue(now, s)
 		}
 	}
+	for _, s := range idleContacts {
+		l.sendHoldIfDue(now, s)
+	}
+}
+
+// isBusy reports whether a worker has attempts.
+func (l *Leader) isBusy(s *session) bool {
+	w := l.state.Worker(s.incarnation.ID)
+	return w != nil && w.Incarnation == s.incarnation && len(w.Attempts()) > 0
+}
+
+// sendHoldIfDue sends the hold that a session needs now, if any.
+func (l *Leader) sendHoldIfDue(now Time, s *session) {
+	if !s.everAnswered && l.contactsInFlight >= maxContactsInFlight {
+		return
+	}
+	if now.Mono >= s.nextHoldAt {
+		delete(l.toHold, s)
+	}
+	w := l.state.Worker(s.incarnation.ID)
+	if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced {
+		return
+	}
+	busy := len(w.Attempts()) > 0
+	unacked := w.Cursor > s.ackedCursor
+	switch {
+	case s.holdNow && s.holdsInFlight < 2 && (busy || unacked || s.unknown > 0 || s.probing) && now.Mono >= s.nextHoldAt:
+		s.holdNow = false
+		l.sendHold(now, w, s, 0)
+	case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
+	case !busy && (!s.hasClock || s.unfenced) && s.failures == 0:
+		l.sendHold(now, w, s, 0) // The answer contains the clock, so a new leader need not wait for the worker's report.
+	case busy && (!s.hasClock || s.unfenced):
+		l.sendHold(now, w, s, 0)
+	case busy && l.shared(w):
+		l.sendHold(now, w, s, sharedHoldWait)
+	case busy, s.unknown > 0: // It is answered when an attempt ends.
+		l.sendHold(now, w, s, l.holdWait())
+	case unacked:
+		l.sendHold(now, w, s, 0)
+	case s.failures > 0 && now.Mono-s.reportedAt < l.options.ReportPeriod+reportSlack:
+		l.sendHold(now, w, s, 0) // It reports, but only a call shows whether it can be reached again.
+	}
 }
 
 // sendHold sends a hold. It renews the lease if the worker has a confirmed attempt and is not silent.
@@ -170,6 +197,9 @@
 		return
 	}
 	delete(l.callsInFlight, id)
+	if p.contact {
+		l.contactsInFlight--
+	}
 	s := l.sessions[p.call.Worker.ID]
 	if s != nil {
 		l.mayNeedHold(s)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -58,10 +58,11 @@
 	lateStarts     map[string][]*lateStart // By worker.
 	lateAcks       map[string]lateAck      // By worker.
 	// toHold has the sessions that may need a hold now. The others are looked at every watchEvery only.
-	toHold        map[*session]struct{}
-	leaving       map[*session]struct{} // Sessions of workers that have announced their end.
-	busyWorkers   int                   // Workers with attempts, as counted at the last watch.
-	holdsInFlight map[string]int        // Holds in flight by worker, also those meant for an earlier incarnation.
+	toHold           map[*session]struct{}
+	leaving          map[*session]struct{} // Sessions of workers that have announced their end.
+	contactsInFlight int                   // Holds in flight to workers that have not answered yet.
+	busyWorkers      int                   // Workers with attempts, as counted at the last watch.
+	holdsInFlight    map[string]int        // Holds in flight by worker, also those meant for an earlier incarnation.
 	// leaseEnds holds when the leases of workers are over whose sessions were dropped. A worker that was forgotten may
 	// still run, and registers again.
 	leaseEnds       map[domain.WorkerIncarnation]time.Duration
@@ -90,8 +91,9 @@
 
 // pendingCall is a call in flight.
 type pendingCall struct {
-	call   Call
-	sentAt time.Duration
+	call    Call
+	sentAt  time.Duration
+	contact bool // A hold to a worker that has not answered this leader yet.
 }
 
 // New begins a leadership over the applied state.
@@ -448,6 +450,11 @@
 	c.Worker = w.Incarnation
 	c.Address = w.Address
 	c.FencingToken = l.options.FencingToken
-	l.callsInFlight[c.ID] = pendingCall{c, now.Mono}
+	s := l.sessions[c.Worker.ID]
+	contact := c.Kind == CallHold && s != nil && !s.everAnswered
+	if contact {
+		l.contactsInFlight++
+	}
+	l.callsInFlight[c.ID] = pendingCall{c, now.Mono, contact}
 	l.out.Calls = append(l.out.Calls, c)
 }
--- a/internal/dispatch/scale_test.go
+++ b/internal/dispatch/scale_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
 	"github.com/mustardwalk/mustardwalk/internal/domain"
 )
 
@@ -57,3 +62,38 @@
 		})
 	}
 }
+
+var _ = Describe("a new leader of a large fleet", func() {
+	It("calls the workers a part at a time, those with attempts first, and all of them within a second", func() {
+		// The load: a leader that has just begun over 600 workers. If it calls all of them at once, its own heartbeats wait
+		// behind these calls, and it loses the leadership that it has just won.
+		w := newWorld(1, 600)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=60000", Steps: []domain.Step{step(100, 8)}})
+		w.run(3 * time.Second)
+		w.elect()
+		leader, sent := w.leader, map[string]bool{}
+		began := w.now
+		var first []dispatch.Call
+		for len(sent) < 600 && w.now < began+time.Second {
+			before := len(w.calls)
+			w.run(w.now + tickEvery)
+			for _, c := range w.calls[before:] {
+				sent[c.Worker.ID] = true
+			}
+			if first == nil {
+				first = slices.Clone(w.calls[before:])
+			}
+		}
+		Expect(w.leader).To(BeIdenticalTo(leader))
+		Expect(len(first)).To(And(BeNumerically(">=", 100), BeNumerically("<=", 128)))
+		busy := 0
+		for _, c := range first {
+			if len(w.stateMachine.Worker(c.Worker.ID).Attempts()) > 0 {
+				busy++
+			}
+		}
+		Expect(busy).To(Equal(100))
+		Expect(sent).To(HaveLen(600))
+	})
+})
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -34,6 +34,7 @@
 	workers         []*simworker.Worker
 	gangs           *simworker.Gangs
 	cutOff          map[string]bool                                   // Workers that are partitioned from everything else.
+	reportsLost     bool                                              // Reports do not arrive.
 	lateShare       float64                                           // Share of calls, except holds, that are carried out 2 s to 12 s late, unanswered.
 	lateStart       time.Duration                                     // If not 0, the first start is carried out this much late, unanswered.
 	lateAck         time.Duration                                     // If not 0, the next hold with a cursor is carried out this much late, unanswered.
@@ -52,6 +53,7 @@
 	done            map[domain.TaskID]bool // Tasks whose end as done has been committed or acknowledged to its worker.
 	gangTimeouts    int
 	callIDs         []uint64 // Identifiers of the calls sent.
+	calls           []dispatch.Call
 	violations      []string
 	allowed         map[string]bool // Workers that the policy of the queue "advised" allows.
 	adviceCalls     []dispatch.AdviceCall
@@ -97,7 +99,7 @@
 	if !slices.Contains(w.workers, s) {
 		return
 	}
-	if !w.cutOff[s.Incarnation.ID] {
+	if !w.cutOff[s.Incarnation.ID] && !w.reportsLost {
 		reg := &domain.Worker{
 			Incarnation: s.Incarnation, Pool: "pool", Address: fmt.Sprintf("10.0.0.%d:8080", i), Zone: fmt.Sprintf("z%d", i%3),
 			Rack: fmt.Sprintf("r%d", i/8), Labels: []string{"a", fmt.Sprintf("r%d", i/8)}, Capacity: s.Capacity, Machine: fmt.Sprintf("m%d", i),
@@ -269,6 +271,7 @@
 // deliver delivers a call to its worker and the answer to the leader.
 func (w *world) deliver(leader *dispatch.Leader, c dispatch.Call) {
 	w.callIDs = append(w.callIDs, c.ID)
+	w.calls = append(w.calls, c)
 	i := slices.IndexFunc(w.workers, func(s *simworker.Worker) bool { return s.Incarnation.ID == c.Worker.ID })
 	lost := func() {
 		w.at(w.now+c.Wait+callTimeout, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.NoAnswer}) })
