Workers report to all core hosts, which pass the reports on together

Cause: each report named the leader as the address for later ones.

Change: a host names itself. It passes the reports of 50 ms on in one call, with one outcome for each. A worker whose report is late, as after the end of the host that it reports to, is called before it is given up as silent.

--- a/internal/corehost/forward.go
+++ b/internal/corehost/forward.go
@@ -22,13 +22,17 @@
 	host   *Host
 	client *http.Client
 
+	reports reportBatches
+
 	mu      sync.Mutex
 	clients map[string]rpc.Domain // By host address.
 }
 
 // NewForwarder returns a forwarder for a host.
 func NewForwarder(h *Host) *Forwarder {
-	return &Forwarder{host: h, client: rpc.NewHTTPClient(forwardTimeout), clients: map[string]rpc.Domain{}}
+	f := &Forwarder{host: h, client: rpc.NewHTTPClient(forwardTimeout), clients: map[string]rpc.Domain{}}
+	f.reports.send = f.Operate
+	return f
 }
 
 // Operate executes an operation here or on the leader.
@@ -37,6 +41,9 @@
 	if r.Outcome != service.Redirect {
 		return r
 	}
+	if op.Kind == service.Register {
+		return f.reports.pass(ctx, service.Report{Worker: op.Worker, ClockMS: op.ClockMS})
+	}
 	in, err := encodeOperation(op)
 	if err != nil {
 		f.host.log.Error(err, "operation_not_encoded", "kind", op.Kind.String())
@@ -56,13 +63,6 @@
 	return service.Result{Outcome: outcome, Document: out.Document}
 }
 
-// LeaderAddress returns the address, without port, of the leader, empty if it is not known.
-func (f *Forwarder) LeaderAddress() string {
-	f.host.mu.Lock()
-	defer f.host.mu.Unlock()
-	return f.host.replica.Leader()
-}
-
 // clientFor returns the client for calls to a host.
 func (f *Forwarder) clientFor(host string) rpc.Domain {
 	f.mu.Lock()
@@ -85,6 +85,8 @@
 		in.Document, err = cbor.Marshal(op.Worker)
 	case op.Wave != nil:
 		in.Document, err = cbor.Marshal(op.Wave)
+	case op.Reports != nil:
+		in.Document, err = cbor.Marshal(op.Reports)
 	}
 	return in, eris.Wrap(err, "encoding an operation")
 }
@@ -98,6 +100,8 @@
 	case service.Register, service.Deregister:
 		op.Worker = &domain.Worker{}
 		return op, eris.Wrap(cbor.Unmarshal(in.Document, op.Worker), "decoding a worker")
+	case service.RegisterMany:
+		return op, eris.Wrap(cbor.Unmarshal(in.Document, &op.Reports), "decoding reports")
 	case service.StartWave, service.GetWave:
 		op.Wave = &domain.Wave{}
 		return op, eris.Wrap(cbor.Unmarshal(in.Document, op.Wave), "decoding a wave")
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -188,6 +188,8 @@
 		return h.commitOperation(ctx, now, &domain.Command{Zone: z})
 	case service.Register:
 		return h.register(ctx, now, op)
+	case service.RegisterMany:
+		return h.registerMany(ctx, now, op.Reports)
 	case service.Deregister:
 		return h.deregister(ctx, now, op)
 	case service.StartWave:
@@ -230,12 +232,7 @@
 		}
 		r = h.commitOperation(ctx, now, &domain.Command{Register: op.Worker})
 	}
-	if w := h.stateMachine.Worker(op.Worker.Incarnation.ID); h.leader != nil && w != nil && w.Incarnation == op.Worker.Incarnation {
-		if op.Worker.Draining && op.Worker.LeavesInMS > 0 {
-			h.leader.WorkerDrains(now, w.Incarnation, time.Duration(op.Worker.LeavesInMS)*time.Millisecond)
-		}
-		h.leader.WorkerReported(now, w.Incarnation, op.ClockMS) // What follows from it is done at the next tick.
-	}
+	h.noteReport(now, op.Worker, op.ClockMS)
 	return r
 }
 
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -168,6 +168,8 @@
 		l.sendHold(now, w, s, l.holdWait())
 	case unacked:
 		l.sendHold(now, w, s, 0)
+	case s.failures == 0 && l.unheard(now, s) > l.options.ReportPeriod+reportSlack/2:
+		l.sendHold(now, w, s, 0) // The host that it reports to may have ended; a call shows whether it can be reached.
 	case s.failures > 0 && now.Mono-s.reportedAt < l.options.ReportPeriod+reportSlack:
 		l.sendHold(now, w, s, 0) // It reports, but only a call shows whether it can be reached again.
 	}
--- a/internal/dispatch/probe_test.go
+++ b/internal/dispatch/probe_test.go
@@ -34,6 +34,17 @@
 		Entry("independent tasks", step(6, 3), "work=1000"),
 	)
 
+	It("goes to workers whose reports are late if they answer", func() {
+		// The load: the host that a fifth of the workers report to has ended.
+		w := newWorld(1, 2)
+		w.run(4 * time.Second)
+		w.reportsLost = true
+		w.run(8 * time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=500", Steps: []domain.Step{step(2, 8)}})
+		w.run(9 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	})
+
 	It("preempts on workers that answer", func() {
 		w := newWorld(1, 4)
 		w.run(time.Second)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -88,9 +88,10 @@
 	Deregister // A worker is about to end.
 	StartWave  // An operator's request for the upkeep of a wave of machines.
 	GetWave
+	RegisterMany // Reports of several workers, which another host has received.
 )
 
-var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister", "start_wave", "get_wave"}
+var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister", "start_wave", "get_wave", "register_many"}
 
 // String returns the name for logs and metrics.
 func (k OperationKind) String() string { return operationNames[k] }
@@ -103,6 +104,13 @@
 	Worker  *domain.Worker // Register, Deregister.
 	Wave    *domain.Wave   // StartWave; GetWave: only Number is set.
 	ClockMS int64          // Register: the worker's clock.
+	Reports []Report       // RegisterMany.
+}
+
+// Report is a worker's report about itself.
+type Report struct {
+	Worker  *domain.Worker `cbor:"1,keyasint"`
+	ClockMS int64          `cbor:"2,keyasint,omitempty"` // Reading of the worker's clock.
 }
 
 // Outcome is how an operation ended.
@@ -129,7 +137,9 @@
 
 // Result is the answer to an Operation.
 type Result struct {
-	Outcome  Outcome
-	Document []byte // GetConfig: as the operator sent it. GetWave: one byte, 1 if the wave is completed.
+	Outcome Outcome
+	// GetConfig: as the operator sent it. GetWave: one byte, 1 if the wave is completed. RegisterMany: one byte for each
+	// report, its Outcome.
+	Document []byte
 	Leader   string // Redirect: address of the leader.
 }
