--- a/internal/capacity/cmd/capacity/main.go
+++ b/internal/capacity/cmd/capacity/main.go
@@ -1,5 +1,5 @@
 // Command capacity measures what a deployment costs on each host, writes the results to docs/capacity and prints the
-// tables of docs/CAPACITY.md. Run it from the root of the repository, with make capacity.
+// tables of slopes. Run it from the root of the repository, with make capacity.
 package main
 
 import (
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -1,6 +1,6 @@
 // Package capacity measures what a deployment costs on each host: processor time, memory and bytes on the wire. It runs
 // the shipped daemons as real processes on loopback, fits lines to the values at several sizes of the deployment and
-// prints the tables of docs/CAPACITY.md.
+// prints the tables of slopes.
 package capacity
 
 import (
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -109,7 +109,7 @@
 	return out
 }
 
-// print writes the tables of docs/CAPACITY.md.
+// print writes the tables of slopes.
 func (r *results) print(out io.Writer) error {
 	for _, s := range scenarios {
 		if err := r.printScenario(out, s); err != nil {
--- a/internal/capacity/scenarios.go
+++ b/internal/capacity/scenarios.go
@@ -89,7 +89,7 @@
 	refused          atomic.Value // Code and findings of the last refusal of a contract; empty if none was refused.
 }
 
-// Run measures all scenarios. It writes the rows as CSV files to the folder and the tables of docs/CAPACITY.md to out.
+// Run measures all scenarios. It writes the rows as CSV files to the folder and the tables of slopes to out.
 func Run(ctx context.Context, out io.Writer, o Options) error {
 	ctx, stop := context.WithTimeout(ctx, timeLimit)
 	defer stop()
