dispatch: a busy leader does not take its own delay for the silence of workers

Change: answers count for longer, and are awaited for longer, by the round trip of calls as seen here and by the time of plans. The next plan waits as long again as the last one took, so that answers and the log are handled in between.

Measured: the spec starts 0 of 60 tasks without the allowance for plans, and all with it.

--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -127,6 +127,7 @@
 	}
 	m.registerGauges(h)
 	h.settings.Dispatch.Observer = m
+	h.settings.Dispatch.Stopwatch = h.clock.Now
 	h.settings.Dispatch.Log = func(event string, kv ...any) { log.Info(event, kv...) }
 	incarnation := state.Incarnation
 	if incarnation == 0 {
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -259,6 +259,9 @@
 		return
 	}
 	s.answeredAt, s.everAnswered, s.failures = now.Mono, true, 0
+	if p.call.Wait == 0 {
+		l.roundTrip = now.Mono - p.sentAt
+	}
 	s.learnClock(now.Mono, r.ClockMS)
 	if r.Status == RejectedFence {
 		l.deposed = true
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -75,6 +75,8 @@
 	dirty           bool                  // Something has changed since the last plan.
 	nextPlanAt      time.Duration
 	lastPlanAt      time.Duration
+	planTook        time.Duration // How long the last plan took, by Options.Stopwatch.
+	roundTrip       time.Duration // From the last call that was answered at once to its answer, as handled here.
 	nextPurgeAt     time.Duration
 	nextWatchAt     time.Duration
 	deposed         bool
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,6 +15,9 @@
 const (
 	planEvery = 100 * time.Millisecond
 	planPause = 10 * time.Millisecond // About the time of one disk sync.
+	// planRestFactor is how many times the duration of a plan the next one waits. Plans then take half of the processor at
+	// most, and answers of workers and the messages of the log are handled in between.
+	planRestFactor = 1
 )
 
 // expiryFactor is the multiple of its objective after which the completion of a job has no value any more.
@@ -23,9 +26,13 @@
 // plan proposes the starts of tasks that can start and stops attempts to make room for urgent work. While a command
 // with starts is not applied, no further plan is made, so that no capacity is allocated twice.
 func (l *Leader) plan(now Time) {
-	if l.startInFlight || (!l.dirty && now.Mono < l.nextPlanAt) || now.Mono < l.lastPlanAt+planPause {
+	if l.startInFlight || (!l.dirty && now.Mono < l.nextPlanAt) || now.Mono < l.lastPlanAt+max(planPause, (1+planRestFactor)*l.planTook) {
 		return
 	}
+	if watch := l.options.Stopwatch; watch != nil {
+		began := watch()
+		defer func() { l.planTook = watch() - began }()
+	}
 	l.dirty = false
 	l.lastPlanAt = now.Mono
 	l.nextPlanAt = now.Mono + planEvery
@@ -292,7 +299,7 @@
 func (l *Leader) usable(now Time, w *domain.Worker) bool {
 	s := l.sessions[w.Incarnation.ID]
 	return s != nil && s.incarnation == w.Incarnation && !w.Draining && !l.inUpkeep(w) && !l.state.ZoneOut(w.Zone) &&
-		!s.ending() && !s.unfenced && s.unknown == 0 && !l.earlierHold(s) && !l.mayLoseEnds(now, s) && len(l.toReject(now, s)) == 0 && s.hasClock && s.failures == 0 && !s.probeUnanswered(now) &&
+		!s.ending() && !s.unfenced && s.unknown == 0 && !l.earlierHold(s) && !l.mayLoseEnds(now, s) && len(l.toReject(now, s)) == 0 && s.hasClock && s.failures == 0 && !l.probeUnanswered(now, s) &&
 		now.Mono >= s.avoidUntil && l.unheard(now, s) < l.reportLimit()
 }
 
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -53,7 +53,7 @@
 // probeIfStale reports whether a worker has not answered lately, and if so, has it probed by a hold.
 func (l *Leader) probeIfStale(now Time, worker string) bool {
 	s := l.sessions[worker]
-	if s == nil || (s.everAnswered && now.Mono-s.answeredAt < answerFreshFor) {
+	if s == nil || (s.everAnswered && now.Mono-s.answeredAt < answerFreshFor+l.lag()) {
 		return false
 	}
 	if !s.probing {
@@ -64,10 +64,15 @@
 }
 
 // probeUnanswered reports whether a worker has left a probe unanswered for too long.
-func (s *session) probeUnanswered(now Time) bool {
-	return s.probing && now.Mono-s.probedAt > probePatience
+func (l *Leader) probeUnanswered(now Time, s *session) bool {
+	return s.probing && now.Mono-s.probedAt > probePatience+l.lag()
 }
 
+// lag is how much longer the answers of workers are to count and to be awaited while this host is busy: answers that wait
+// here do not count against the workers.
+// The time of a plan counts since the one that uses an answer comes only after the one that asked for it.
+func (l *Leader) lag() time.Duration { return 2*l.roundTrip + 2*(planRestFactor+1)*l.planTook }
+
 // isGang reports whether a task belongs to a gang.
 func (l *Leader) isGang(id domain.TaskID) bool {
 	j := l.state.Job(id.Job)
--- a/internal/dispatch/probe_test.go
+++ b/internal/dispatch/probe_test.go
@@ -34,6 +34,17 @@
 		Entry("independent tasks", step(6, 3), "work=1000"),
 	)
 
+	It("starts although plans take so long that answers are old at the next one", func() {
+		// The load: a fleet so large and so full that a plan takes a good part of a second.
+		w := newWorld(1, 30)
+		w.planTime = 150 * time.Millisecond
+		w.elect()
+		w.run(4 * time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=60000", Steps: []domain.Step{step(60, 4)}})
+		w.run(6 * time.Second)
+		Expect(w.starts).To(Equal(60))
+	})
+
 	It("goes to workers whose reports are late if they answer", func() {
 		// The load: the host that a fifth of the workers report to has ended.
 		w := newWorld(1, 2)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -33,7 +33,9 @@
 	// MachineLease is how long after one host's last order for a machine another host must wait before it sends its own.
 	MachineLease time.Duration
 	Observer     Observer // Nil for none.
-	Log          func(event string, keysAndValues ...any)
+	// Stopwatch reads a monotonic clock, to measure how long plans take; nil if that is not to be measured.
+	Stopwatch func() time.Duration
+	Log       func(event string, keysAndValues ...any)
 }
 
 // CallKind tells what a call asks a worker to do.
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -34,6 +34,8 @@
 	workers         []*simworker.Worker
 	gangs           *simworker.Gangs
 	cutOff          map[string]bool                                   // Workers that are partitioned from everything else.
+	planTime        time.Duration                                     // How long each plan seems to take.
+	stopwatch       time.Duration                                     // What the leader's stopwatch shows; each reading adds planTime.
 	reportsLost     bool                                              // Reports do not arrive.
 	lateShare       float64                                           // Share of calls, except holds, that are carried out 2 s to 12 s late, unanswered.
 	lateStart       time.Duration                                     // If not 0, the first start is carried out this much late, unanswered.
@@ -123,6 +125,7 @@
 	w.leader = dispatch.New(w.stateMachine, dispatch.Options{
 		FencingToken: w.term, LeaseDuration: simworker.MaxLease, GangWait: simworker.GangWait, ReportPeriod: reportEvery,
 		Retention: time.Minute, RestoreTime: 600 * time.Millisecond, UpkeepTime: 2 * time.Second, MachineLease: 3 * time.Second, Log: func(event string, kv ...any) { w.log(event, kv...) },
+		Stopwatch: func() time.Duration { w.stopwatch += w.planTime; return w.stopwatch },
 	}, w.time())
 }
 
