--- /dev/null
+++ b/internal/dispatch/holds.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// holdWaitMax is how long a worker delays its answer to a hold while no attempt ends. It is the longest wait that
+// workers allow.
+const holdWaitMax = 2 * time.Second
+
+// holdWait returns the wait of a hold. If more workers are busy than holds may wait at the same time, the wait is
+// shorter, so that each worker has its turn within about holdWaitMax.
+func (l *Leader) holdWait() time.Duration {
+	if l.options.LongPolls == 0 || l.busyWorkers <= l.options.LongPolls {
+		return holdWaitMax
+	}
+	return holdWaitMax * time.Duration(l.options.LongPolls) / time.Duration(l.busyWorkers)
+}
+
+// maxContactsInFlight bounds the holds in flight to workers that have not answered this leader yet. If a leader that has
+// just begun called all workers at once, its heartbeats would wait behind these calls until its leadership is lost again.
+// With a quarter of 1,100 workers not answering for 0.6 s, all have been called after 1.3 s.
+const maxContactsInFlight = 128
+
+// mayNeedHold notes that a session has changed in a way that may require a hold.
+func (l *Leader) mayNeedHold(s *session) { l.toHold[s] = struct{}{} }
+
+// watchHolds notes all sessions, for what becomes due by the passing of time alone, and counts the busy workers.
+func (l *Leader) watchHolds() {
+	l.busyWorkers = 0
+	for _, s := range l.sessions {
+		l.mayNeedHold(s)
+		if w := l.state.Worker(s.incarnation.ID); w != nil && len(w.Attempts()) > 0 {
+			l.busyWorkers++
+		}
+	}
+}
+
+// sendHolds keeps one hold in flight to each worker with attempts, acknowledges the last ends of the other workers, and
+// probes those that have not been heard from or have left calls unanswered.
+func (l *Leader) sendHolds(now Time) {
+	var idleContacts []*session
+	for s := range l.toHold {
+		if !s.everAnswered && !l.isBusy(s) {
+			idleContacts = append(idleContacts, s)
+		} else {
+			l.sendHoldIfDue(now, s)
+		}
+	}
+	for _, s := range idleContacts {
+		l.sendHoldIfDue(now, s)
+	}
+}
+
+// isBusy reports whether a worker has attempts.
+func (l *Leader) isBusy(s *session) bool {
+	w := l.state.Worker(s.incarnation.ID)
+	return w != nil && w.Incarnation == s.incarnation && len(w.Attempts()) > 0
+}
+
+// sendHoldIfDue sends the hold that a session needs now, if any.
+func (l *Leader) sendHoldIfDue(now Time, s *session) {
+	if !s.everAnswered && l.contactsInFlight >= maxContactsInFlight {
+		return
+	}
+	if now.Mono >= s.nextHoldAt {
+		delete(l.toHold, s)
+	}
+	w := l.state.Worker(s.incarnation.ID)
+	if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced {
+		return
+	}
+	busy := len(w.Attempts()) > 0
+	unacked := w.Cursor > s.ackedCursor
+	switch {
+	case s.holdNow && s.holdsInFlight < 2 && (busy || unacked || s.unknown > 0 || s.probing) && now.Mono >= s.nextHoldAt:
+		s.holdNow = false
+		l.sendHold(now, w, s, 0)
+	case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
+	case !busy && (!s.hasClock || s.unfenced) && s.failures == 0:
+		l.sendHold(now, w, s, 0) // The answer contains the clock, so a new leader need not wait for the worker's report.
+	case busy && (!s.hasClock || s.unfenced):
+		l.sendHold(now, w, s, 0)
+	case busy && l.shared(w):
+		l.sendHold(now, w, s, sharedHoldWait)
+	case busy, s.unknown > 0: // It is answered when an attempt ends.
+		l.sendHold(now, w, s, l.holdWait())
+	case unacked:
+		l.sendHold(now, w, s, 0)
+	case s.failures == 0 && l.unheard(now, s) > l.options.ReportPeriod+reportSlack/2:
+		l.sendHold(now, w, s, 0) // The host that it reports to may have ended; a call shows whether it can be reached.
+	case s.failures > 0 && now.Mono-s.reportedAt < l.options.ReportPeriod+reportSlack:
+		l.sendHold(now, w, s, 0) // It reports, but only a call shows whether it can be reached again.
+	}
+}
+
+// sendHold sends a hold. It renews the lease if the worker has a confirmed attempt and is not silent.
+func (l *Leader) sendHold(now Time, w *domain.Worker, s *session, wait time.Duration) {
+	c := Call{Kind: CallHold, Wait: wait}
+	// Another incarnation may have taken the place of one that has not answered lately. The cursor of the earlier one
+	// would acknowledge ends of the later one that nobody has read. For the same reason, a cursor is sent only until the
+	// worker has received it.
+	if s.everAnswered && s.failures == 0 && w.Cursor > s.ackedCursor {
+		c.Cursor = w.Cursor
+	}
+	if s.hasClock && !s.silent(now.Mono) && !s.leaving && l.hasConfirmedAttempt(w) {
+		c.UntilMS = l.extendLease(now, s, l.options.LeaseDuration)
+	}
+	s.holdsInFlight++
+	l.holdsInFlight[w.Incarnation.ID]++
+	l.sendCall(now, w, c)
+}
