--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -69,8 +69,8 @@
 }
 
 // lag is how much longer the answers of workers are to count and to be awaited while this host is busy: answers that wait
-// here do not count against the workers.
-// The time of a plan counts since the one that uses an answer comes only after the one that asked for it.
+// here do not count against the workers. The time of a plan counts because an answer is used only by the plan after the
+// one that asked for it.
 func (l *Leader) lag() time.Duration { return 2*l.roundTrip + 2*(planRestFactor+1)*l.planTook }
 
 // isGang reports whether a task belongs to a gang.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -73,8 +73,8 @@
 	return min(stallLimit, stallBase+time.Duration(stallShare*float64(run)))
 }
 
-// stalled reports whether an attempt shows no progress, and no other member of its gang does, although all of them run. The lists of a worker show
-// it, or nothing has been seen of it for stallLimit.
+// stalled reports whether an attempt shows no progress, and no other member of its gang does, although all of them run.
+// The lists of a worker show it, or nothing has been seen of it for stallLimit.
 func (l *Leader) stalled(now Time, a *attemptState) bool {
 	if now.Mono-a.progressAt >= stallLimit {
 		return !l.isGang(a.task) || !slices.ContainsFunc(l.members(a.task), func(m *attemptState) bool {
