--- a/review/2/main.go
+++ b/review/2/main.go
@@ -12,10 +12,11 @@
 	"github.com/mustardwalk/mustardwalk/review/harness"
 )
 
-// Bounds of the rule: for 3 s nothing of an accepted job runs though there is room, after 4 s that are calm as well.
+// Bounds of the rule: finish_s after the end of the traffic, for 3 s nothing of an accepted job runs though there is room.
 const (
+	finishS   = 14 * time.Second
 	idleTime  = 3 * time.Second
-	calmTime  = 4 * time.Second
+	calmTime  = 4 * time.Second // Before the job is submitted.
 	watchTime = 30 * time.Second
 )
 
@@ -56,7 +57,7 @@
 	if d.Submit(ctx, path, body) != http.StatusOK {
 		return false, errors.New("the job was not accepted")
 	}
-	accepted := time.Now()
+	accepted := time.Now() // No other job is submitted: this is the end of the traffic.
 	for time.Since(accepted) < watchTime && begun(workers) == 0 && ctx.Err() == nil {
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -64,7 +65,7 @@
 	_, state := d.State(0, path)
 	d.Record.Printf("%v after the acceptance, %d tasks of the job have begun, and it is shown as %q; %d idle workers with 8 GPUs each",
 		waited.Round(time.Millisecond), begun(workers), state, len(workers))
-	return waited > calmTime+idleTime, nil
+	return waited > finishS+idleTime, nil
 }
 
 func begun(workers []*harness.Worker) int {
