--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -40,6 +39,9 @@
 	// Ends is how long the tasks without work run until they end as EndsAs; they last if it is 0.
 	Ends   time.Duration
 	EndsAs string
+	// LateBy returns by how much an order is carried out late, 0 for at once: the kind of the order, and how many of that kind
+	// came before. A late order gets no answer. It is carried out by whichever lifetime then serves the address.
+	LateBy func(kind string, before int) time.Duration
 
 	deployment *Deployment
 	server     *http.Server
@@ -55,9 +57,8 @@
 	fence    uint64
 	leaseMS  int64
 	sequence int
-	draining bool
-	cut      bool // Nothing passes between the worker and the hosts.
 	starts   []Started
+	orders   map[string]int // Orders that came so far, by kind.
 }
 
 // Started is a task that a worker has begun on an order.
@@ -70,49 +71,45 @@
 
 // StartWorker starts a worker, which reports itself to the control addresses.
 func (d *Deployment) StartWorker(w *Worker, number int) error {
-	l, err := net.Listen("tcp4", d.IP(3, number)+":0")
+	w.deployment, w.address, w.orders = d, d.IP(3, number)+":0", map[string]int{}
+	return w.Restart()
+}
+
+// Restart begins a lifetime of the worker, under its identifier and at its address. It knows nothing of earlier ones.
+func (w *Worker) Restart() error {
+	l, err := net.Listen("tcp4", w.address)
 	if err != nil {
 		return err
 	}
-	w.deployment, w.address, w.born, w.stop = d, l.Addr().String(), time.Now(), make(chan struct{})
-	w.running, w.highest, w.nextEnd = map[string]*run{}, map[string]int{}, 1
+	w.mu.Lock()
+	w.address, w.born, w.stop = l.Addr().String(), time.Now(), make(chan struct{})
+	w.running, w.highest, w.ended, w.nextEnd = map[string]*run{}, map[string]int{}, nil, 1
+	w.fence, w.leaseMS, w.sequence = 0, 0, 0
+	w.mu.Unlock()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", w.handle(w.start))
-	mux.HandleFunc("POST /run-stop", w.handle(w.stopRun))
-	mux.HandleFunc("POST /hold", w.handle(w.hold))
+	mux.HandleFunc("POST /run-start", w.handle("start", w.start))
+	mux.HandleFunc("POST /run-stop", w.handle("stop", w.stopRun))
+	mux.HandleFunc("POST /hold", w.handle("hold", w.hold))
 	w.server = &http.Server{Handler: mux}
 	go func() { _ = w.server.Serve(l) }() // Ends with Close.
-	go w.work()
-	go w.report()
+	go w.work(w.stop)
+	go w.report(w.stop)
 	return nil
 }
 
-// Close ends the worker.
+// Close ends the worker without notice.
 func (w *Worker) Close() {
 	close(w.stop)
 	_ = w.server.Close() // Nothing is left to do if it fails.
 }
 
-// RefuseConnections closes the listener and all connections, while the tasks go on.
-func (w *Worker) RefuseConnections() {
-	w.deployment.Record.Printf("%s: cut off; connections to it are refused", w.ID)
-	_ = w.server.Close()
-	w.SetCut(true)
-}
-
-// SetCut cuts the worker off, or connects it again. While it is cut off, calls to it are neither carried out nor
-// answered, and its reports do not arrive.
-func (w *Worker) SetCut(cut bool) {
-	w.deployment.Record.Printf("%s: cut off: %v", w.ID, cut)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cut = cut
-}
-
-func (w *Worker) isCut() bool {
+// Crash ends the lifetime of the worker, with all that runs on it.
+func (w *Worker) Crash() {
+	w.deployment.Record.Printf("%s: crashes", w.ID)
+	w.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.cut
+	clear(w.running)
 }
 
 func (w *Worker) clock() int64 { return 1000 + time.Since(w.born).Milliseconds() }
@@ -132,10 +129,10 @@
 }
 
 // work ends the tasks whose time has come.
-func (w *Worker) work() {
+func (w *Worker) work(stop chan struct{}) {
 	for {
 		select {
-		case <-w.stop:
+		case <-stop:
 			return
 		case <-time.After(advanceEvery):
 		}
@@ -177,12 +174,18 @@
 }
 
 // handle decodes a call and checks the lifetime and the fencing token.
-func (w *Worker) handle(carryOut func(call) (int, map[string]any)) http.HandlerFunc {
+func (w *Worker) handle(kind string, carryOut func(call) (int, map[string]any)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var c call
 		err := json.NewDecoder(r.Body).Decode(&c)
-		if w.isCut() {
-			<-r.Context().Done() // The caller gives up.
+		if late := w.lateBy(kind); late > 0 {
+			w.deployment.Record.Printf("%s: order %s of %s run %d gets no answer, and is carried out %v later", w.ID, kind, c.Task, c.Run, late)
+			time.AfterFunc(late, func() {
+				if w.raiseFence(c.FenceToken) {
+					carryOut(c)
+				}
+			})
+			<-r.Context().Done()
 			return
 		}
 		body, status := map[string]any{}, http.StatusOK
@@ -196,10 +199,6 @@
 		default:
 			status, body = carryOut(c)
 		}
-		if w.isCut() {
-			<-r.Context().Done()
-			return
-		}
 		body["clock_ms"], body["born"] = w.clock(), w.born.UnixMilli()
 		rw.Header().Set("Content-Type", "application/json")
 		rw.WriteHeader(status)
@@ -207,6 +206,18 @@
 	}
 }
 
+// lateBy counts an order and returns by how much it is carried out late.
+func (w *Worker) lateBy(kind string) time.Duration {
+	w.mu.Lock()
+	before := w.orders[kind]
+	w.orders[kind]++
+	w.mu.Unlock()
+	if w.LateBy == nil || kind == "hold" {
+		return 0
+	}
+	return w.LateBy(kind, before)
+}
+
 // raiseFence reports whether a fencing token is not lower than an earlier one.
 func (w *Worker) raiseFence(token uint64) bool {
 	w.mu.Lock()
@@ -288,13 +299,11 @@
 }
 
 // report sends a status report in each period.
-func (w *Worker) report() {
+func (w *Worker) report(stop chan struct{}) {
 	for {
-		if !w.isCut() {
-			w.ReportNow()
-		}
+		w.ReportNow()
 		select {
-		case <-w.stop:
+		case <-stop:
 			return
 		case <-time.After(reportPeriod):
 		}
@@ -306,12 +315,8 @@
 func (w *Worker) ReportNow() bool {
 	w.mu.Lock()
 	w.sequence++
-	state := "ready"
-	if w.draining {
-		state = "draining"
-	}
 	body := encode(map[string]any{
-		"service": Service, "address": w.address, "zone": w.Zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
+		"service": Service, "address": w.address, "zone": w.Zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 		"capacity": map[string]int{"cpu": 32000, "mem_mb": 65536, "gpus": w.GPUs}, "labels": []string{"a", "r-" + w.Zone}, "clock_ms": w.clock(),
 		"sequence": w.sequence, "born": w.born.UnixMilli(), "machine": "m-" + w.ID,
 	})
@@ -326,26 +331,3 @@
 	}
 	return false
 }
-
-// Drain makes the worker report that it drains, and returns whether that was acknowledged.
-func (w *Worker) Drain() bool {
-	w.mu.Lock()
-	w.draining = true
-	w.mu.Unlock()
-	acked := w.ReportNow()
-	w.deployment.Record.Printf("%s: reports draining, acknowledged: %v", w.ID, acked)
-	return acked
-}
-
-// SendLeave sends the notice that the worker ends to one control address, without waiting for the answer.
-func (w *Worker) SendLeave(core int) {
-	address := w.deployment.ControlAddresses()[core]
-	w.deployment.Record.Printf("%s: DELETE /instances/%s to %s", w.ID, w.ID, address)
-	go func() {
-		status, _ := send(controlTimeout, http.MethodDelete, "http://"+address+"/instances/"+w.ID, nil, encode(map[string]int64{"born": w.born.UnixMilli()}))
-		w.deployment.Record.Printf("%s: answer to DELETE: status %d", w.ID, status)
-	}()
-}
-
-// TaskName returns the name of a task of the first occurrence and step of a job.
-func TaskName(job string, index int) string { return fmt.Sprintf("%s.0.0.%d", job, index) }
