--- a/review/2/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x target/mustardwalkd ] && [ -x target/review/case-2 ] || exit 2
-exec target/review/case-2 review/2
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for n in 1 2 3 4 5 6 8; do
+for n in 1 2 3 4 5; do
   if [ -f "review/$n/main.go" ]; then
     go build -o "target/review/case-$n" "./review/$n"
   fi
