--- a/review/1/main.go
+++ b/review/1/main.go
@@ -11,8 +11,8 @@
 	"github.com/mustardwalk/mustardwalk/review/harness"
 )
 
-// Bounds of the rule: a process that ends by itself three times, on half of the core; jobs are asked for finish_s after
-// the end of the traffic.
+// Bounds of the rules: jobs are asked for finish_s after the end of the traffic (LOST); a process ends by itself three
+// times, on half of the core (Fault).
 const (
 	ownEnds   = 3
 	watchTime = 20 * time.Second
@@ -42,7 +42,7 @@
 		return false, errors.New("the job was not completed before the disruption")
 	}
 	if trouble {
-		d.ReportForeign(foreignID, harness.ForeignReport("127.0.0.1:9", harness.Zones[0]))
+		d.ReportForeign(foreignID, harness.ForeignReport(d.IP(4, 1)+":8080", harness.Zones[0]))
 	}
 	time.Sleep(watchTime)
 	lost := 0
