--- a/internal/standin/fleet/operator.go
+++ b/internal/standin/fleet/operator.go
@@ -49,7 +49,7 @@
 
 // ConfigBody builds a configuration with one service, one host name, one tenant and its keys.
 func ConfigBody(version int64, host, service string, queues []QueueRoute, keys ...string) []byte {
-	var routes []map[string]any
+	routes := []map[string]any{}
 	for _, q := range queues {
 		routes = append(routes, map[string]any{
 			"name": "r" + q.Prefix, "host": host, "path_prefix": q.Prefix, "type": "non_idempotent", "timeout_ms": 3000,
@@ -60,6 +60,7 @@
 		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 64}},
 		"tenants":  []map[string]any{{"name": "t1", "api_keys": keys, "guaranteed": map[string]int{"gpus": 16}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	if err != nil {
 		panic(err) // The values are plain.
