domain: a caller without a key belongs to no workspace

What callers saw: a call without a key ran as the workspace of a configuration that has an empty key.

Cause: the empty key was looked up like any other.

Change: no workspace is known for an empty key.

Evidence: the new spec failed before, and passes.

--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -245,8 +245,12 @@
 	return ok
 }
 
-// WorkspaceOf returns the name of the workspace that an API key belongs to.
+// WorkspaceOf returns the name of the workspace that an API key belongs to. A caller without a key belongs to none, also if
+// a configuration that an earlier version stored has an empty key.
 func (m *StateMachine) WorkspaceOf(key string) (string, bool) {
+	if key == "" {
+		return "", false
+	}
 	w, ok := m.index.byKey[key]
 	return w, ok
 }
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -64,6 +64,17 @@
 		Expect(string(f.Config().Document)).To(Equal("seven"))
 	})
 
+	// Guards against callers without a key who pass as a workspace.
+	It("knows no workspace for a caller without a key, whatever keys are stored", func() {
+		f := newFixture()
+		f.do(domain.Command{Config: &domain.Config{Version: 1, Workspaces: []domain.Workspace{{Name: "t", Keys: []string{"", "k"}}}}})
+		_, known := f.WorkspaceOf("")
+		Expect(known).To(BeFalse())
+		workspace, known := f.WorkspaceOf("k")
+		Expect(known).To(BeTrue())
+		Expect(workspace).To(Equal("t"))
+	})
+
 	It("finds the queue with the longest prefix of the path", func() {
 		f := newFixture()
 		f.do(domain.Command{Config: &domain.Config{Version: 1, Queues: []domain.Queue{
