corehost: a host that lost an output of its log takes no other

A panic while an entry is applied in a call (Deliver, a proposal) is recovered by the server of that call. The host then went on.

Cause: the replica gives each output once. The next output was written behind the gap and acknowledged, and the folder could not be opened again.

Change: processOutput marks the host as failed unless an output is executed in full. A failed host takes no output, answers no call as leader, and ends at its next step.

Evidence: the new spec failed before (the host went on); followed further there, the folder gave "entry 3 does not follow entry 1" when it was opened again. internal/corehost passes after the change (15 specs).

--- a/internal/corehost/apply.go
+++ b/internal/corehost/apply.go
@@ -1,15 +1,36 @@
 package corehost
 
 import (
+	"github.com/rotisserie/eris"
+
 	"github.com/mustardwalk/mustardwalk/internal/dispatch"
 	"github.com/mustardwalk/mustardwalk/internal/domain"
 	"github.com/mustardwalk/mustardwalk/internal/replica"
 )
 
+// errOutputLost is the failure of a host that has taken an output of the replica and has not executed all of it.
+var errOutputLost = eris.New("an output of the replicated log was not executed in full")
+
 // processOutput takes the output of the replica: it restores a received snapshot, applies committed entries, queues
 // records to be written, and sends messages. Messages that depend on a write are sent after its sync.
+//
+// The replica gives each output once. If one is not executed in full, by an error or by a panic, which the server of a
+// call recovers from, the host takes no other: it would write entries after a gap, and acknowledge what it does not have.
 func (h *Host) processOutput(now dispatch.Time) error {
-	out := h.replica.Take()
+	if h.failed != nil {
+		return h.failed
+	}
+	failure := errOutputLost
+	defer func() {
+		if failure != nil {
+			h.fail(failure)
+		}
+	}()
+	failure = h.executeOutput(now, h.replica.Take())
+	return failure
+}
+
+func (h *Host) executeOutput(now dispatch.Time, out replica.Output) error {
 	if out.Snapshot != nil {
 		if len(out.Snapshot.Data) > 0 {
 			if err := h.stateMachine.Restore(out.Snapshot.Data); err != nil {
--- a/internal/corehost/peers.go
+++ b/internal/corehost/peers.go
@@ -143,7 +143,6 @@
 		h.replica.Step(now.Mono, m)
 	}
 	if err := h.processOutput(now); err != nil {
-		h.fail(err)
 		return nil, err
 	}
 	h.wake()
--- /dev/null
+++ b/internal/corehost/peers_test.go
@@ -0,0 +1,87 @@
+package corehost
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+	"github.com/mustardwalk/mustardwalk/internal/replica"
+	"github.com/mustardwalk/mustardwalk/internal/rpc"
+	"github.com/mustardwalk/mustardwalk/internal/wal"
+)
+
+// Founding members of the log in these tests. The first one is the host under test.
+var (
+	testVoters = []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
+	testLeader = replica.Member{Host: "127.0.0.2", Incarnation: replica.FoundingIncarnation, Disk: true}
+)
+
+// openHost opens a founding voter, which does not run yet.
+func openHost(folder string) *Host {
+	h, err := Open(Settings{
+		Address: testVoters[0], Zone: "z", DataFolder: folder, Founding: true, Seeds: testVoters,
+		Dispatch: dispatch.Options{LeaseDuration: 10 * time.Second, GangWait: 3 * time.Second, ReportPeriod: time.Second, Retention: time.Minute},
+	}, Clients{}, NewMetrics(), logr.Discard())
+	Expect(err).NotTo(HaveOccurred())
+	return h
+}
+
+// deliver passes messages of the leader to a host, as the server of the port between hosts does: it recovers from a panic.
+func deliver(h *Host, messages ...replica.Message) (err error) {
+	b := &rpc.Batch{From: testLeader.Host}
+	for _, m := range messages {
+		m.Group, m.From, m.To = groupName, testLeader, testVoters[0]
+		data, err := cbor.Marshal(m)
+		Expect(err).NotTo(HaveOccurred())
+		b.Payloads = append(b.Payloads, data)
+	}
+	defer func() {
+		if v := recover(); v != nil {
+			err = errOutputLost
+		}
+	}()
+	_, err = h.Deliver(context.Background(), b)
+	return err
+}
+
+// appendOf returns the message with commands as the entries after an index, all committed.
+func appendOf(after uint64, commands ...[]byte) replica.Message {
+	m := replica.Message{Kind: replica.MsgAppend, Term: 2, Index: after, Commit: after + uint64(len(commands))}
+	if after > 0 {
+		m.LogTerm = 2
+	}
+	for i, data := range commands {
+		m.Entries = append(m.Entries, replica.Entry{Index: after + 1 + uint64(i), Term: 2, Kind: replica.EntryCommand, Data: data})
+	}
+	return m
+}
+
+func zoneOut(zone string) []byte {
+	return (&domain.Command{Zone: &domain.SetZone{Zone: zone, Out: true}}).Encode()
+}
+
+var _ = Describe("a core host that did not execute an output of its log in full", func() {
+	// Guards against a host that goes on after a panic in a call, and writes and acknowledges entries after a gap.
+	It("writes and acknowledges nothing more, and ends", func() {
+		folder := GinkgoT().TempDir()
+		h := openHost(folder)
+		Expect(deliver(h, appendOf(0, zoneOut("z1")))).To(Succeed())
+		Expect(h.writeBatch(context.Background(), h.disk.take())).To(Succeed())
+		m := h.stateMachine
+		h.stateMachine = nil
+		Expect(deliver(h, appendOf(1, zoneOut("z2")))).NotTo(Succeed())
+		h.stateMachine = m
+		Expect(deliver(h, appendOf(2, zoneOut("z3")))).NotTo(Succeed())
+		Expect(h.disk.take()).To(BeEmpty())
+		Expect(h.Run(context.Background())).NotTo(Succeed())
+		_, state, err := wal.Open(folder)
+		Expect(err).NotTo(HaveOccurred(), "it can start again")
+		Expect(state.Groups[groupName].LastIndex()).To(Equal(uint64(1)))
+	})
+})
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -40,7 +40,6 @@
 	w := pendingProposal{term: term, result: make(chan proposalResult, 1)}
 	h.pendingProposals[index] = w
 	if err := h.processOutput(now); err != nil {
-		h.fail(err)
 		return proposalUnknown
 	}
 	h.mu.Unlock()
@@ -61,7 +60,7 @@
 // leads reports whether this host may answer for the domain now: its leadership has begun and its leader lease is
 // valid.
 func (h *Host) leads(now dispatch.Time) bool {
-	return h.leader != nil && h.replica.LeadsUnderLease(now.Mono)
+	return h.failed == nil && h.leader != nil && h.replica.LeadsUnderLease(now.Mono)
 }
 
 // Locate implements rpc.Domain: it returns the leader and the known core hosts.
