--- a/internal/corehost/apply.go
+++ b/internal/corehost/apply.go
@@ -33,7 +33,7 @@
 func (h *Host) executeOutput(now dispatch.Time, out replica.Output) error {
 	if out.Snapshot != nil {
 		if len(out.Snapshot.Data) > 0 {
-			if err := h.stateMachine.Restore(out.Snapshot.Data); err != nil {
+			if err := h.restore(out.Snapshot); err != nil {
 				return err
 			}
 		}
@@ -52,6 +52,37 @@
 	return nil
 }
 
+// receivedState is the decoded state of a snapshot that has arrived.
+type receivedState struct {
+	index, term uint64
+	state       *domain.StateMachine
+}
+
+// readSnapshot decodes the snapshot of a message and keeps the state for restore. It returns false if it cannot be
+// decoded: such a message counts as lost, because the log must not move to a state that this host does not have.
+func (h *Host) readSnapshot(m replica.Message) bool {
+	s := m.Snapshot
+	if s == nil || s.Index <= h.replica.CommitIndex() {
+		return true // The replica makes no use of it.
+	}
+	state := domain.New()
+	if err := state.Restore(s.Data); err != nil {
+		h.log.Info("snapshot_unreadable", "from", m.From.Host, "index", s.Index, "term", s.Term, "bytes", len(s.Data), "cause", err.Error())
+		return false
+	}
+	h.received = &receivedState{s.Index, s.Term, state}
+	return true
+}
+
+// restore loads a snapshot that the replica has taken over from a message or from the disk.
+func (h *Host) restore(s *replica.Snapshot) error {
+	if r := h.received; r != nil && r.index == s.Index && r.term == s.Term {
+		*h.stateMachine = *r.state
+		return nil
+	}
+	return h.stateMachine.Restore(s.Data)
+}
+
 // sendAppendsBeforeSync sends append messages at once, so that the followers write the entries while this host syncs
 // its own disk. This is safe if the term is durable already, that is, if no record has a new hard state. It returns the
 // messages that must wait for the sync.
--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -97,6 +97,7 @@
 	lastVoterCheck   time.Duration
 	knownHosts       []string // Addresses of the core hosts that are known here.
 	stopping         bool
+	received         *receivedState    // Of a snapshot in the messages that are handled just now, else nil.
 	failed           error             // An output of the replica was not executed in full; the host must exit.
 	zones            map[string]string // Zones by host; the founding configuration does not name them.
 
--- a/internal/corehost/peers.go
+++ b/internal/corehost/peers.go
@@ -140,8 +140,11 @@
 		if m.From.Zone != "" {
 			h.zones[m.From.Host] = m.From.Zone
 		}
-		h.replica.Step(now.Mono, m)
+		if h.readSnapshot(m) {
+			h.replica.Step(now.Mono, m)
+		}
 	}
+	defer func() { h.received = nil }()
 	if err := h.processOutput(now); err != nil {
 		return nil, err
 	}
--- a/internal/corehost/peers_test.go
+++ b/internal/corehost/peers_test.go
@@ -85,3 +85,47 @@
 		Expect(state.Groups[groupName].LastIndex()).To(Equal(uint64(1)))
 	})
 })
+
+var _ = Describe("a snapshot from another host", func() {
+	snapshot := func(data []byte) replica.Message {
+		var c replica.Config
+		for _, host := range testVoters {
+			c.Voters = append(c.Voters, replica.Member{Host: host, Incarnation: replica.FoundingIncarnation, Disk: true})
+		}
+		return replica.Message{Kind: replica.MsgSnapshot, Term: 2, Snapshot: &replica.Snapshot{Index: 100, Term: 2, Config: c, Data: data}}
+	}
+	stateWith := func(zone string) []byte {
+		m := domain.New()
+		m.Apply(&domain.Command{Zone: &domain.SetZone{Zone: zone, Out: true}})
+		return m.Snapshot()
+	}
+
+	// Guards against a host that ends whenever it is sent a snapshot that it cannot decode, and leaves a gap in its folder.
+	DescribeTable("that cannot be decoded counts as lost", func(data []byte) {
+		folder := GinkgoT().TempDir()
+		h := openHost(folder)
+		Expect(deliver(h, appendOf(0, zoneOut("z1")))).To(Succeed())
+		Expect(deliver(h, snapshot(data))).To(Succeed())
+		Expect(deliver(h, appendOf(100, zoneOut("z2")))).To(Succeed())
+		Expect(h.replica.Status().LastIndex).To(Equal(uint64(1)), "the log holds what the host has")
+		Expect(deliver(h, appendOf(1, zoneOut("z3")))).To(Succeed())
+		Expect(h.stateMachine.ZonesOut()).To(Equal([]string{"z1", "z3"}))
+		Expect(h.writeBatch(context.Background(), h.disk.take())).To(Succeed())
+		Expect(deliver(h, snapshot(stateWith("z4")))).To(Succeed())
+		Expect(h.stateMachine.ZonesOut()).To(Equal([]string{"z4"}))
+		Expect(h.writeBatch(context.Background(), h.disk.take())).To(Succeed())
+		Expect(h.store.close()).To(Succeed())
+		h = openHost(folder)
+		Expect(h.step()).To(Succeed())
+		Expect(h.stateMachine.ZonesOut()).To(Equal([]string{"z4"}), "the folder can be read")
+		Expect(h.store.close()).To(Succeed())
+	},
+		Entry("bytes that are no encoding", []byte{0xff}),
+		Entry("no bytes", nil),
+		Entry("a value of another type", []byte{0x83, 1, 2, 3}),
+		Entry("a part of a snapshot", stateWith("z5")[:3]),
+		Entry("a job without a value", []byte{0xa1, 3, 0xa1, 0x61, 'j', 0xf6}),
+		Entry("a worker without a value", []byte{0xa1, 4, 0xa1, 0x61, 'w', 0xf6}),
+		Entry("a wave without a value", []byte{0xa1, 7, 0xa1, 1, 0xf6}),
+	)
+})
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -52,6 +52,9 @@
 	if err := decoder.Unmarshal(snapshot, &s); err != nil {
 		return eris.Wrap(err, "decoding a snapshot of the domain")
 	}
+	if err := s.check(); err != nil {
+		return eris.Wrap(err, "checking a snapshot of the domain")
+	}
 	m.load(s)
 	return nil
 }
