domain, corehost: what hosts pass to each other is checked before it enters the log, and before it is applied

One report without a worker in a batch failed the batch for all of its workers. A null, an empty value or one of an unknown kind was stored as a configuration, zone, worker or wave without meaning (GET /config then gives nothing), or ended the call by a panic. A job with a negative number of tasks, as an entry of the log, ended each host that applied it, at each start.

Cause: the decoder makes an empty value of null, the checks stood at the platform's doors and in service.Decide only, and a command that could be decoded was taken for one that can be applied.

Change: the limits of a job are part of the domain; a command that Apply could not execute is skipped like one that cannot be decoded, and no command enters the log without the values that give it a meaning. Null is refused where a value is due. Each report of a batch is answered by itself. Names of unknown kinds end no call.

Changed tests: a configuration and a worker that are meant to be good have a document and an identifier now; nothing that was expected of them has changed.

Evidence: before the change, the eight jobs of the domain's spec were accepted, a task with a negative number ended the spec by a panic, and 10 of 14 values of the corehost spec were stored or ended it; a report without a worker and an unknown kind gave panics (nil pointer; index out of range [99]). All pass after the change; so do internal/corehost, domain and dispatch.

--- a/internal/corehost/apply_test.go
+++ b/internal/corehost/apply_test.go
@@ -93,7 +93,7 @@
 
 	It("refuses a job with an unreadable identifier", func(ctx SpecContext) {
 		h := startAlone()
-		config := &domain.Config{Version: 1, Pools: []domain.Pool{{Name: "p"}}, Queues: []domain.Queue{{Name: "q", Pool: "p", Public: true}}}
+		config := &domain.Config{Version: 1, Document: []byte("{}"), Pools: []domain.Pool{{Name: "p"}}, Queues: []domain.Queue{{Name: "q", Pool: "p", Public: true}}}
 		Expect(h.operate(ctx, service.Operation{Kind: service.PutConfig, Config: config}).Outcome).To(Equal(service.Done))
 		job := &domain.JobSpec{Steps: []domain.Step{{Count: 1}}}
 		a := h.answer(ctx, service.Request{Kind: service.Submit, Queue: "q", Job: unreadable, Document: job})
--- a/internal/corehost/forward.go
+++ b/internal/corehost/forward.go
@@ -95,16 +95,25 @@
 	op := service.Operation{Kind: service.OperationKind(in.Kind), Zone: in.Name, ClockMS: in.ClockMs}
 	switch op.Kind {
 	case service.PutConfig:
-		op.Config = &domain.Config{}
-		return op, eris.Wrap(domain.Decode(in.Document, op.Config), "decoding a configuration")
+		return op, decodeValue(in.Document, &op.Config)
 	case service.Register, service.Deregister:
-		op.Worker = &domain.Worker{}
-		return op, eris.Wrap(domain.Decode(in.Document, op.Worker), "decoding a worker")
+		return op, decodeValue(in.Document, &op.Worker)
 	case service.RegisterMany:
 		return op, eris.Wrap(domain.Decode(in.Document, &op.Reports), "decoding reports")
 	case service.StartWave, service.GetWave:
-		op.Wave = &domain.Wave{}
-		return op, eris.Wrap(domain.Decode(in.Document, op.Wave), "decoding a wave")
+		return op, decodeValue(in.Document, &op.Wave)
 	}
 	return op, nil
 }
+
+// decodeValue decodes the value of an operation. It returns an error also if the value is null, of which the decoder makes
+// no value.
+func decodeValue[T any](data []byte, into **T) error {
+	if err := domain.Decode(data, into); err != nil {
+		return eris.Wrap(err, "decoding a value")
+	}
+	if *into == nil {
+		return eris.New("the value is missing")
+	}
+	return nil
+}
--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -85,9 +85,16 @@
 // registerMany handles reports that another host has passed on. Those that change a registration are committed together.
 // The caller holds h.mu.
 func (h *Host) registerMany(ctx context.Context, now dispatch.Time, reports []service.Report) service.Result {
+	if len(reports) > maxReportBatch {
+		return service.Result{Outcome: service.Refused}
+	}
 	outcomes := make([]byte, len(reports))
 	var changes sync.WaitGroup
 	for i, r := range reports {
+		if r.Worker == nil {
+			outcomes[i] = byte(service.Refused)
+			continue
+		}
 		op := service.Operation{Kind: service.Register, Worker: r.Worker, ClockMS: r.ClockMS}
 		if h.stateMachine.Registered(r.Worker) {
 			outcomes[i] = byte(h.register(ctx, now, op).Outcome)
--- a/internal/domain/check.go
+++ b/internal/domain/check.go
@@ -1,6 +1,10 @@
 package domain
 
-import "github.com/rotisserie/eris"
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
 
 // check returns an error if a decoded state has values that the state machine cannot work with: entries without a value,
 // or tasks of steps that a job does not have.
@@ -32,3 +36,66 @@
 	}
 	return nil
 }
+
+// Limits of a job.
+const (
+	maxSteps       = 256
+	maxTasks       = 20000 // Of all steps together.
+	maxOccurrences = 100000
+)
+
+// CheckSteps returns an error if the steps of a job are not within the limits, or depend on other than earlier steps.
+func (s *JobSpec) CheckSteps() error {
+	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return eris.Errorf("%d steps are not between 1 and %d", len(s.Steps), maxSteps)
+	}
+	if s.RepeatCount < 0 || s.RepeatCount > maxOccurrences {
+		return eris.Errorf("%d occurrences are not between 0 and %d", s.RepeatCount, maxOccurrences)
+	}
+	tasks := 0
+	for i, step := range s.Steps {
+		if step.Count <= 0 || step.Count > maxTasks-tasks {
+			return eris.Errorf("step %d: the number of tasks is %d, of all steps at most %d", i, step.Count, maxTasks)
+		}
+		tasks += step.Count
+		if step.Task.CPU < 0 || step.Task.MemoryMB < 0 || step.Task.Accelerators < 0 {
+			return eris.Errorf("step %d: a task takes a negative amount", i)
+		}
+		for _, d := range step.DependsOn {
+			if d < 0 || d >= i {
+				return eris.Errorf("step %d: depends on step %d, which is not an earlier one", i, d)
+			}
+		}
+	}
+	return nil
+}
+
+// checkExecutable returns an error if Apply could not execute a command. No host of any version has applied one.
+func (c *Command) checkExecutable() error {
+	if c.Submit != nil {
+		return c.Submit.CheckSteps()
+	}
+	return nil
+}
+
+// checkComplete returns an error if a command that is to enter the log lacks a value without which it has no meaning: the
+// decoder makes an empty value of an empty or a missing one.
+func (c *Command) checkComplete() error {
+	ok, field := true, ""
+	switch {
+	case c.Config != nil:
+		ok, field = len(c.Config.Document) > 0, "the document of a configuration"
+	case c.Zone != nil:
+		ok, field = c.Zone.Zone != "", "the name of a zone"
+	case c.Submit != nil:
+		ok, field = c.Submit.ID != "", "the identifier of a job"
+	case c.Register != nil:
+		ok, field = c.Register.Incarnation.ID != "", "the identifier of a worker"
+	case c.Wave != nil:
+		ok, field = c.Wave.MaxDown > 0 && !slices.Contains(c.Wave.Machines, ""), "the limit or a machine of a wave"
+	}
+	if !ok {
+		return eris.Errorf("%s is missing", field)
+	}
+	return nil
+}
--- a/internal/domain/codec.go
+++ b/internal/domain/codec.go
@@ -25,18 +25,27 @@
 // Decode decodes a part of a command, as hosts pass it to each other.
 func Decode(data []byte, into any) error { return decoder.Unmarshal(data, into) }
 
-// DecodeCommand decodes a command that Encode has written.
+// DecodeCommand decodes a command that Encode has written. It returns an error also for one that Apply could not execute.
 func DecodeCommand(data []byte) (*Command, error) {
 	var c Command
 	if err := decoder.Unmarshal(data, &c); err != nil {
 		return nil, eris.Wrap(err, "decoding a command")
 	}
+	if err := c.checkExecutable(); err != nil {
+		return nil, eris.Wrap(err, "checking a command")
+	}
 	return &c, nil
 }
 
 // CheckCommand returns an error if an encoded command must not enter the log: each host, also one that decodes strictly,
-// must be able to decode what is in it.
+// must be able to decode and apply what is in it, whichever host or interface it comes from.
 func CheckCommand(data []byte) error {
 	var c Command
-	return eris.Wrap(strictDecoder.Unmarshal(data, &c), "checking a command")
+	if err := strictDecoder.Unmarshal(data, &c); err != nil {
+		return eris.Wrap(err, "checking a command")
+	}
+	if err := c.checkExecutable(); err != nil {
+		return eris.Wrap(err, "checking a command")
+	}
+	return eris.Wrap(c.checkComplete(), "checking a command")
 }
--- a/internal/domain/codec_test.go
+++ b/internal/domain/codec_test.go
@@ -1,6 +1,7 @@
 package domain_test
 
 import (
+	"math"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,6 +36,35 @@
 		Entry("a wave of more machines than the decoder's default limit",
 			domain.Command{Wave: &domain.Wave{Number: 1, MaxDown: 1, Machines: strings.Split(strings.Repeat("m,", 200_000)+"m", ",")}}, true),
 		Entry("a worker with more labels than the decoder's default limit",
-			domain.Command{Register: &domain.Worker{Labels: strings.Split(strings.Repeat("a,", 200_000)+"a", ",")}}, true),
+			domain.Command{Register: &domain.Worker{Incarnation: domain.WorkerIncarnation{ID: "i-1"}, Labels: strings.Split(strings.Repeat("a,", 200_000)+"a", ",")}}, true),
 	)
+
+	// Guards against an entry of the log that can be decoded and ends every host that applies it.
+	DescribeTable("refuses a job that cannot be executed, also in the log", func(steps []domain.Step, repeat int) {
+		data := (&domain.Command{Submit: &domain.JobSpec{ID: "j", Steps: steps, RepeatCount: repeat}}).Encode()
+		Expect(domain.CheckCommand(data)).NotTo(Succeed())
+		_, err := domain.DecodeCommand(data)
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("without steps", nil, 0),
+		Entry("with a negative number of tasks", []domain.Step{{Count: -1}}, 0),
+		Entry("with more tasks than memory can hold", []domain.Step{{Count: math.MaxInt}}, 0),
+		Entry("with too many tasks in all", []domain.Step{{Count: 20000}, {Count: 1}}, 0),
+		Entry("with a negative number of occurrences", []domain.Step{{Count: 1}}, -1),
+		Entry("with a step that depends on itself", []domain.Step{{Count: 1, DependsOn: []int{0}}}, 0),
+		Entry("with a step that depends on none of its job", []domain.Step{{Count: 1, DependsOn: []int{7}}}, 0),
+		Entry("with a step that depends on a negative one", []domain.Step{{Count: 1}, {Count: 1, DependsOn: []int{-1}}}, 0),
+	)
+
+	It("applies commands that name no task of a job as ones that change nothing", func() {
+		m := domain.New()
+		m.Apply(&domain.Command{Submit: &domain.JobSpec{ID: "j", Steps: single}})
+		m.Apply(&domain.Command{Register: worker("i-1", 5, "10.0.0.1:80")})
+		on := m.Worker("i-1").Incarnation
+		for _, id := range []domain.TaskID{{Job: "j", Occurrence: -1}, {Job: "j", Step: -1}, {Job: "j", Index: -1}, {Job: "j", Index: 9}, {Job: "k"}} {
+			Expect(m.Apply(&domain.Command{Start: &domain.StartAttempts{Assignments: []domain.Assignment{{Task: id, Worker: on}}}})).To(Equal(domain.NotChanged))
+			m.Apply(&domain.Command{End: &domain.EndAttempts{Worker: on, Ends: []domain.AttemptEnd{{Task: id, Attempt: 1, Outcome: domain.OutcomeDone}}}})
+		}
+		Expect(m.Job("j").State).To(Equal(domain.JobPending))
+	})
 })
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -252,16 +252,19 @@
 
 // Task returns the state of a task, nil if the task does not exist or its occurrence is not due yet.
 func (j *Job) Task(id TaskID) *Task {
-	if id.Occurrence >= len(j.Occurrences) || id.Step >= len(j.Spec.Steps) {
+	if !within(id.Occurrence, len(j.Occurrences)) || !within(id.Step, len(j.Spec.Steps)) {
 		return nil
 	}
 	tasks := j.Occurrences[id.Occurrence].Steps[id.Step]
-	if id.Index >= len(tasks) {
+	if !within(id.Index, len(tasks)) {
 		return nil
 	}
 	return &tasks[id.Index]
 }
 
+// within reports whether a number that was decoded is an index of a list of n elements.
+func within(index, n int) bool { return index >= 0 && index < n }
+
 // StepDone reports whether all tasks of a step are done.
 func (o *Occurrence) StepDone(step int) bool {
 	for i := range o.Steps[step] {
--- a/internal/service/decide.go
+++ b/internal/service/decide.go
@@ -61,7 +61,7 @@
 	if m.Job(id) != nil {
 		return Answer{Verdict: Accepted}, nil
 	}
-	if !validDocument(req.Document) || strings.ContainsAny(string(id), "./") {
+	if req.Document == nil || req.Document.CheckSteps() != nil || strings.ContainsAny(string(id), "./") {
 		return Answer{Verdict: Invalid}, nil
 	}
 	spec := *req.Document
@@ -69,30 +69,3 @@
 	spec.Priority, spec.MaxAttempts, spec.Stretch, spec.CompletionTargetMS = q.Priority, max(1, q.MaxAttempts), q.Stretch, q.CompletionTargetMS
 	return Answer{Verdict: Accepted}, &domain.Command{Submit: &spec}
 }
-
-// Limits of a job document.
-const (
-	maxSteps       = 256
-	maxTasks       = 20000 // Of all steps together.
-	maxOccurrences = 100000
-)
-
-// validDocument reports whether a job document is within the limits and its steps depend on earlier steps only.
-func validDocument(s *domain.JobSpec) bool {
-	if s == nil || len(s.Steps) == 0 || len(s.Steps) > maxSteps || s.RepeatCount < 0 || s.RepeatCount > maxOccurrences {
-		return false
-	}
-	tasks := 0
-	for i, step := range s.Steps {
-		if step.Count <= 0 || step.Count > maxTasks || step.Task.CPU < 0 || step.Task.MemoryMB < 0 || step.Task.Accelerators < 0 {
-			return false
-		}
-		tasks += step.Count
-		for _, d := range step.DependsOn {
-			if d < 0 || d >= i {
-				return false
-			}
-		}
-	}
-	return tasks <= maxTasks
-}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -22,7 +22,12 @@
 var kindNames = [...]string{"", "submit", "state", "cancel"}
 
 // String returns the name for logs and metrics.
-func (k RequestKind) String() string { return kindNames[k] }
+func (k RequestKind) String() string {
+	if int(k) >= len(kindNames) {
+		return "invalid_kind"
+	}
+	return kindNames[k]
+}
 
 // Request is a request of a caller. It names either Queue and Job, or Host and Path, in which case the queue is the one
 // whose path prefix matches, and the job is the rest of the path.
@@ -106,7 +111,12 @@
 var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister", "start_wave", "get_wave", "register_many"}
 
 // String returns the name for logs and metrics.
-func (k OperationKind) String() string { return operationNames[k] }
+func (k OperationKind) String() string {
+	if int(k) >= len(operationNames) {
+		return "invalid_kind"
+	}
+	return operationNames[k]
+}
 
 // Operation is a request of an operator or a worker.
 type Operation struct {
