dispatch, domain: an end of a task that does not exist ends no leader

What callers saw: a worker whose answer to /hold lists the end of a task that its job does not have (an index, step or occurrence out of range) ended the core host that leads, as soon as the end was committed: nil pointer in Leader.attemptEnded. Each further such end ended the next leader.

Cause: all listed ends were proposed as they are, whatever they name, and the leader looked the task up without asking whether it exists. The state machine also indexed its lists by negative numbers of an entry.

Change: the leader handles ends of tasks that do not exist, Job.Task returns nil for negative numbers, and only ends that can change the state are proposed. Ends of attempts unknown to the domain no longer fill the log with their checkpoints.

--- /dev/null
+++ b/internal/dispatch/answers_test.go
@@ -0,0 +1,91 @@
+package dispatch_test
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// badWorker is the worker whose answers are changed.
+const badWorker = "i-000"
+
+// changeHolds changes the lists in the answers of badWorker.
+func (w *world) changeHolds(change func(dispatch.Call, *dispatch.Reply)) {
+	w.changeAnswer = func(c dispatch.Call, r *dispatch.Reply) {
+		if c.Worker.ID == badWorker && c.Kind == dispatch.CallHold && r.Status == dispatch.OK {
+			change(c, r)
+		}
+	}
+}
+
+// addEnds adds ends to each list of badWorker that has some, under the number of the newest.
+func (w *world) addEnds(ends ...dispatch.EndedTask) {
+	w.changeHolds(func(_ dispatch.Call, r *dispatch.Reply) {
+		if len(r.Ended) == 0 {
+			return
+		}
+		newest := r.Ended[len(r.Ended)-1].Number
+		for _, e := range ends {
+			e.Number = newest
+			r.Ended = append(r.Ended, e)
+		}
+	})
+}
+
+// ended returns the end of an attempt without its number.
+func ended(task domain.TaskID, attempt int, outcome domain.Outcome) dispatch.EndedTask {
+	return dispatch.EndedTask{AttemptEnd: domain.AttemptEnd{Task: task, Attempt: attempt, Outcome: outcome}}
+}
+
+var _ = Describe("a worker that lists what is not there", func() {
+	// Guards against a leader that ends because of an end of a task that its job does not have.
+	DescribeTable("ends no leader and keeps no job from completing", func(listed ...dispatch.EndedTask) {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		w.addEnds(listed...)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(12, 1), step(12, 1)}})
+		w.run(30 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	},
+		Entry("an index that the step does not have", ended(domain.TaskID{Job: "j", Index: 12}, 1, domain.OutcomeDone)),
+		Entry("a step that the job does not have", ended(domain.TaskID{Job: "j", Step: 2}, 1, domain.OutcomeFailed)),
+		Entry("an occurrence that is not due", ended(domain.TaskID{Job: "j", Occurrence: 1}, 1, domain.OutcomeStopped)),
+		Entry("a job that does not exist", ended(domain.TaskID{Job: "none"}, 1, domain.OutcomeDone)),
+		Entry("attempts that have not begun", ended(domain.TaskID{Job: "j", Index: 1}, math.MaxInt, domain.OutcomeDone),
+			ended(domain.TaskID{Job: "j", Index: 2}, 0, domain.OutcomeDone), ended(domain.TaskID{Job: "j", Index: 3}, -1, domain.OutcomeFailed)),
+	)
+
+	It("ends no leader if such an end is in the log", func() {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(1, 1)}})
+		w.run(3500 * time.Millisecond)
+		for _, task := range []domain.TaskID{{Job: "j", Index: 1}, {Job: "j", Step: 1}, {Job: "j", Occurrence: 1}, {Job: "none"},
+			{Job: "j", Index: -1}, {Job: "j", Step: -1}, {Job: "j", Occurrence: -1}} {
+			w.commit(&domain.Command{End: &domain.EndAttempts{Worker: w.worker(badWorker).Incarnation,
+				Ends: []domain.AttemptEnd{{Task: task, Attempt: 1, Outcome: domain.OutcomeDone}}}})
+		}
+		w.run(10 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	})
+
+	It("fills the log with nothing but the number of the end", func() {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		e := ended(domain.TaskID{Job: "none"}, 1, domain.OutcomeStopped)
+		e.Checkpoint = "0123456789abcdef"
+		w.addEnds(slices.Repeat([]dispatch.EndedTask{e}, 100)...)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(12, 1)}})
+		w.run(10 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.ends).To(Equal(12))
+	})
+})
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -351,22 +351,24 @@
 		"current_attempt", current.Attempt, "current_worker", current.Worker.ID, "done", current.Done)
 }
 
-// newEnds returns the listed ends that are not committed yet, in the worker's order. It adds the ended attempts to
-// listed, so that they do not count as absent.
+// newEnds returns the listed ends that are not committed yet and matter to the domain, in the worker's order. It adds the
+// ended attempts to listed, so that they do not count as absent.
 func (l *Leader) newEnds(now Time, w *domain.Worker, s *session, r Reply, listed map[domain.TaskID]int) []domain.AttemptEnd {
 	var ends []domain.AttemptEnd
 	for _, e := range r.Ended {
 		if e.Number <= w.Cursor {
 			continue
 		}
-		if a := l.attempts[e.Task]; a != nil && a.number == e.Attempt {
+		if a := l.attempts[e.Task]; a != nil && a.number == e.Attempt && a.incarnation == s.incarnation {
 			listed[e.Task] = e.Attempt
 			l.noteOutcome(now, s, a, e)
 		} else {
 			l.options.Log("end_not_current", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", s.incarnation.ID,
 				"outcome", e.Outcome.String(), "number", e.Number)
 		}
-		ends = append(ends, e.AttemptEnd)
+		if l.state.EndMatters(s.incarnation, e.AttemptEnd) {
+			ends = append(ends, e.AttemptEnd)
+		}
 	}
 	return ends
 }
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -320,12 +320,13 @@
 func (l *Leader) attemptEnded(now Time, e domain.AttemptEnd) {
 	id := e.Task
 	j := l.state.Job(id.Job)
-	if j == nil || !j.Task(id).Assigned() {
+	if j == nil || j.Task(id) == nil { // An entry of the log may name any task.
 		l.forgetAttempt(id)
-	}
-	if j == nil {
 		return
 	}
+	if !j.Task(id).Assigned() {
+		l.forgetAttempt(id)
+	}
 	if a := l.attempts[id]; a != nil && e.Outcome == domain.OutcomeDone && e.Attempt < a.number && j.Task(id).Done {
 		l.options.Log("attempt_not_needed", "job", id.Job, "task", id.String(), "attempt", a.number, "worker", a.incarnation.ID, "done_by", e.Attempt)
 		l.abandon(a, reasonDone)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -42,6 +42,7 @@
 	lateStart       time.Duration                                     // If not 0, the first start is carried out this much late, unanswered.
 	lateAck         time.Duration                                     // If not 0, the next hold with a cursor is carried out this much late, unanswered.
 	answerDelay     func(dispatch.Call, dispatch.Reply) time.Duration // How much an answer is late.
+	changeAnswer    func(dispatch.Call, *dispatch.Reply)              // Changes what a worker answers.
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
 	log             func(event string, kv ...any)
@@ -49,6 +50,7 @@
 	tickTime        time.Duration // Real time that the leader's decisions have taken.
 	longestTick     time.Duration
 	releases        int // Proposed commands that add occurrences.
+	ends            int // Ends of attempts in proposed commands.
 	queue           events
 	lastOrder       int
 	starts          int
@@ -72,6 +74,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), stateMachine: domain.New(), gangs: simworker.NewGangs(), cutOff: map[string]bool{},
 		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commitDelay: usualCommitDelay, delayedCalls: map[string][]func(){}, onLoss: func() {},
 		log: func(string, ...any) {}, answerDelay: func(dispatch.Call, dispatch.Reply) time.Duration { return 0 },
+		changeAnswer: func(dispatch.Call, *dispatch.Reply) {},
 	}
 	w.gangs.OnEvent = w.observe
 	w.gangs.OnAcknowledged = func(e simworker.Event) {
@@ -154,6 +157,9 @@
 	if c.Release != nil {
 		w.releases++
 	}
+	if c.End != nil {
+		w.ends += len(c.End.Ends)
+	}
 	w.at(w.now+w.commitDelay, func() { w.apply(*c) })
 }
 
@@ -339,6 +345,7 @@
 		w.at(w.now+callTimeout, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.NoAnswer}) })
 		return
 	}
+	w.changeAnswer(c, &r)
 	w.at(w.now+networkDelay+w.answerDelay(c, r), func() { w.reply(leader, c, r) })
 }
 
--- a/internal/domain/apply_attempt.go
+++ b/internal/domain/apply_attempt.go
@@ -114,6 +114,18 @@
 	return Applied
 }
 
+// EndMatters reports whether an end that a worker lists changes the state: of an attempt that may be present there, or of one
+// that was recorded as lost and is done.
+func (m *StateMachine) EndMatters(incarnation WorkerIncarnation, x AttemptEnd) bool {
+	j := m.state.Jobs[x.Task.Job]
+	if j == nil {
+		return false
+	}
+	t := j.Task(x.Task)
+	return t != nil && ((t.Attempt == x.Attempt && t.Worker == incarnation) ||
+		(x.Outcome == OutcomeDone && slices.Contains(t.LostAttempts, x.Attempt)))
+}
+
 // endAttempt records the end of one attempt on a worker.
 func (m *StateMachine) endAttempt(incarnation WorkerIncarnation, x AttemptEnd, at int64) {
 	j := m.state.Jobs[x.Task.Job]
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -252,11 +252,11 @@
 
 // Task returns the state of a task, nil if the task does not exist or its occurrence is not due yet.
 func (j *Job) Task(id TaskID) *Task {
-	if id.Occurrence >= len(j.Occurrences) || id.Step >= len(j.Spec.Steps) {
+	if id.Occurrence < 0 || id.Occurrence >= len(j.Occurrences) || id.Step < 0 || id.Step >= len(j.Spec.Steps) {
 		return nil
 	}
 	tasks := j.Occurrences[id.Occurrence].Steps[id.Step]
-	if id.Index >= len(tasks) {
+	if id.Index < 0 || id.Index >= len(tasks) {
 		return nil
 	}
 	return &tasks[id.Index]
