dispatch: the end of an attempt counts whatever its number is

What callers saw: tasks that a worker had ended as done were started again, some for ever, and their jobs were not completed, after one list whose numbers were not above those of earlier ones (repeated, going back, or after one end numbered 2^63-1).

Cause: a listed end counted only above the cursor. One below it was skipped, and its attempt, listed neither as running nor as ended, was then taken for absent and its task started again.

Change: the end of an attempt that the domain places on the worker counts by its task and attempt. A sound worker never lists one at or below the cursor, since the cursor is committed with the end. The number serves the acknowledgement alone.

--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -89,3 +90,35 @@
 		Expect(w.ends).To(Equal(12))
 	})
 })
+
+// Guards against tasks that start again after their end because its number was not above that of an earlier one.
+var _ = DescribeTable("the numbers of ends that a worker lists", func(number func(int64) int64) {
+	w := newWorld(1, 1)
+	w.run(3 * time.Second)
+	w.changeHolds(func(_ dispatch.Call, r *dispatch.Reply) {
+		r.Ended = slices.Clone(r.Ended)
+		for i := range r.Ended {
+			r.Ended[i].Number = number(r.Ended[i].Number)
+		}
+	})
+	for i := range 4 {
+		w.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprint("j", i)), Payload: "work=1000", Steps: []domain.Step{step(8, 1)}})
+		w.run(w.now + 2*time.Second)
+	}
+	w.run(30 * time.Second)
+	for i := range 4 {
+		Expect(w.state(domain.JobID(fmt.Sprint("j", i)))).To(Equal(domain.JobCompleted))
+	}
+	Expect(w.starts).To(Equal(32))
+	Expect(w.violations).To(BeEmpty())
+},
+	Entry("may be the same", func(int64) int64 { return 1 }),
+	Entry("may go back", func(n int64) int64 { return max(1, 20-n) }),
+	Entry("may jump to the highest one", func(n int64) int64 {
+		if n == 5 {
+			return math.MaxInt64
+		}
+		return n
+	}),
+	Entry("may be negative", func(n int64) int64 { return -n }),
+)
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -352,19 +352,19 @@
 }
 
 // newEnds returns the listed ends that are not committed yet and matter to the domain, in the worker's order. It adds the
-// ended attempts to listed, so that they do not count as absent.
+// ended attempts to listed, so that they do not count as absent. The end of an attempt counts whatever its number is: a worker
+// whose numbers repeat or go back would otherwise seem to have lost what it has done.
 func (l *Leader) newEnds(now Time, w *domain.Worker, s *session, r Reply, listed map[domain.TaskID]int) []domain.AttemptEnd {
 	var ends []domain.AttemptEnd
 	for _, e := range r.Ended {
-		if e.Number <= w.Cursor {
-			continue
-		}
 		if a := l.attempts[e.Task]; a != nil && a.number == e.Attempt && a.incarnation == s.incarnation {
 			listed[e.Task] = e.Attempt
 			l.noteOutcome(now, s, a, e)
-		} else {
+		} else if e.Number > w.Cursor {
 			l.options.Log("end_not_current", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", s.incarnation.ID,
 				"outcome", e.Outcome.String(), "number", e.Number)
+		} else {
+			continue
 		}
 		if l.state.EndMatters(s.incarnation, e.AttemptEnd) {
 			ends = append(ends, e.AttemptEnd)
