dispatch: a hold without usable lists counts as unanswered

What callers saw: tasks on a worker that confirms starts and stops, but answers each hold with a list that cannot be read, with 429 or 503, or with 400, never ran again anywhere; their jobs were not completed.

Cause: such an answer counted as a sign of life, so the worker was never silent, its lease counted as renewed with each hold and never ended. A stop that it confirmed did not help, since the end was to come with a list.

Change: only an answer with lists makes a hold count as answered. Otherwise the lease is not renewed, and after its end the tasks start elsewhere. An unhealthy worker has not renewed its lease either: it has done nothing.

--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -122,3 +122,23 @@
 	}),
 	Entry("may be negative", func(n int64) int64 { return -n }),
 )
+
+// Guards against tasks that hang on a worker that confirms their starts and stops but never shows what has become of them.
+var _ = DescribeTable("a worker whose lists cannot be used", func(change func(*dispatch.Reply)) {
+	w := newWorld(1, 3)
+	w.run(3 * time.Second)
+	w.submit(domain.JobSpec{ID: "j", Payload: "work=3000", Steps: []domain.Step{step(24, 1)}})
+	w.run(4 * time.Second)
+	w.changeHolds(func(_ dispatch.Call, r *dispatch.Reply) { change(r) })
+	w.run(40 * time.Second)
+	Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	Expect(w.violations).To(BeEmpty())
+},
+	Entry("because a row is unreadable", func(r *dispatch.Reply) { r.HasLists, r.Running, r.Ended = false, nil, nil }),
+	Entry("because it is unhealthy", func(r *dispatch.Reply) {
+		*r = dispatch.Reply{Status: dispatch.Unhealthy, ClockMS: r.ClockMS}
+	}),
+	Entry("because it does not know the call", func(r *dispatch.Reply) {
+		*r = dispatch.Reply{Status: dispatch.BadCall, ClockMS: r.ClockMS}
+	}),
+)
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -162,15 +162,20 @@
 		l.unanswered(now, s, a)
 		return
 	}
-	s.answeredAt, s.everAnswered, s.failures = now.Mono, true, 0
-	if p.call.Wait == 0 {
-		l.roundTrip = now.Mono - p.sentAt
-	}
 	s.learnClock(now.Mono, r.ClockMS)
 	if r.Status == RejectedFence {
 		l.deposed = true
 		return
 	}
+	if p.call.Kind == CallHold && (r.Status != OK || !r.HasLists) {
+		l.unanswered(now, s, nil) // Nothing shows what runs there, so its leases must end as if it were silent.
+		s.nextHoldAt = now.Mono + retryMax
+		return
+	}
+	s.answeredAt, s.everAnswered, s.failures = now.Mono, true, 0
+	if p.call.Wait == 0 {
+		l.roundTrip = now.Mono - p.sentAt
+	}
 	if p.call.Kind == CallHold {
 		l.holdAnswered(now, s, p, r)
 	} else if a != nil {
@@ -279,11 +284,6 @@
 // holdAnswered handles the lists of a worker: it confirms the running attempts and proposes to commit the ends.
 func (l *Leader) holdAnswered(now Time, s *session, p pendingCall, r Reply) {
 	s.nextHoldAt = now.Mono
-	if r.Status != OK || !r.HasLists {
-		s.failures++
-		s.nextHoldAt = now.Mono + retryMax
-		return
-	}
 	s.ackedCursor = max(s.ackedCursor, p.call.Cursor)
 	s.unfenced = false
 	w := l.state.Worker(s.incarnation.ID)
