--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -162,15 +162,20 @@
 		l.unanswered(now, s, a)
 		return
 	}
-	s.answeredAt, s.everAnswered, s.failures = now.Mono, true, 0
-	if p.call.Wait == 0 {
-		l.roundTrip = now.Mono - p.sentAt
-	}
 	s.learnClock(now.Mono, r.ClockMS)
 	if r.Status == RejectedFence {
 		l.deposed = true
 		return
 	}
+	if p.call.Kind == CallHold && (r.Status != OK || !r.HasLists) {
+		l.unanswered(now, s, nil) // Nothing shows what runs there, so its leases must end as if it were silent.
+		s.nextHoldAt = now.Mono + retryMax
+		return
+	}
+	s.answeredAt, s.everAnswered, s.failures = now.Mono, true, 0
+	if p.call.Wait == 0 {
+		l.roundTrip = now.Mono - p.sentAt
+	}
 	if p.call.Kind == CallHold {
 		l.holdAnswered(now, s, p, r)
 	} else if a != nil {
@@ -279,11 +284,6 @@
 // holdAnswered handles the lists of a worker: it confirms the running attempts and proposes to commit the ends.
 func (l *Leader) holdAnswered(now Time, s *session, p pendingCall, r Reply) {
 	s.nextHoldAt = now.Mono
-	if r.Status != OK || !r.HasLists {
-		s.failures++
-		s.nextHoldAt = now.Mono + retryMax
-		return
-	}
 	s.ackedCursor = max(s.ackedCursor, p.call.Cursor)
 	s.unfenced = false
 	w := l.state.Worker(s.incarnation.ID)
@@ -351,22 +351,24 @@
 		"current_attempt", current.Attempt, "current_worker", current.Worker.ID, "done", current.Done)
 }
 
-// newEnds returns the listed ends that are not committed yet, in the worker's order. It adds the ended attempts to
-// listed, so that they do not count as absent.
+// newEnds returns the listed ends that are not committed yet and matter to the domain, in the worker's order. It adds the
+// ended attempts to listed, so that they do not count as absent. The end of an attempt counts whatever its number is: a worker
+// whose numbers repeat or go back would otherwise seem to have lost what it has done.
 func (l *Leader) newEnds(now Time, w *domain.Worker, s *session, r Reply, listed map[domain.TaskID]int) []domain.AttemptEnd {
 	var ends []domain.AttemptEnd
 	for _, e := range r.Ended {
-		if e.Number <= w.Cursor {
-			continue
-		}
-		if a := l.attempts[e.Task]; a != nil && a.number == e.Attempt {
+		if a := l.attempts[e.Task]; a != nil && a.number == e.Attempt && a.incarnation == s.incarnation {
 			listed[e.Task] = e.Attempt
 			l.noteOutcome(now, s, a, e)
-		} else {
+		} else if e.Number > w.Cursor {
 			l.options.Log("end_not_current", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", s.incarnation.ID,
 				"outcome", e.Outcome.String(), "number", e.Number)
+		} else {
+			continue
+		}
+		if l.state.EndMatters(s.incarnation, e.AttemptEnd) {
+			ends = append(ends, e.AttemptEnd)
 		}
-		ends = append(ends, e.AttemptEnd)
 	}
 	return ends
 }
