--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -52,6 +52,9 @@
 	if err := decoder.Unmarshal(snapshot, &s); err != nil {
 		return eris.Wrap(err, "decoding a snapshot of the domain")
 	}
+	if err := s.check(); err != nil {
+		return eris.Wrap(err, "checking a snapshot of the domain")
+	}
 	m.load(s)
 	return nil
 }
@@ -245,8 +248,12 @@
 	return ok
 }
 
-// WorkspaceOf returns the name of the workspace that an API key belongs to.
+// WorkspaceOf returns the name of the workspace that an API key belongs to. A caller without a key belongs to none, also if
+// a configuration that an earlier version stored has an empty key.
 func (m *StateMachine) WorkspaceOf(key string) (string, bool) {
+	if key == "" {
+		return "", false
+	}
 	w, ok := m.index.byKey[key]
 	return w, ok
 }
