dispatch: occurrences that are due wait while earlier ones have many tasks to do

What callers saw: one submission of 153 bytes, a schedule of 2,000 occurrences of 20,000 tasks that are all due (start_at_ms 1, interval_ms 0), stopped a deployment for good: 503 for each state asked for from 2.5 s on, hosts with up to 721 MB resident, where the platform ends them at memory_mb (284 in its example), and the command is in the log at each start.

Cause: the leader released all occurrences that were due with one command, and each host makes the tasks of a released occurrence. The limits of a job bound the tasks of one occurrence and the number of occurrences, not their product.

Change: the leader releases further occurrences only while those released and not done have no more tasks than one job may have (20,000), and always one. What a command does is unchanged, so that hosts of both versions apply the same.

A log in which such a command is stored already is not mended by this.

--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -69,6 +69,22 @@
 		Expect(w.leader.PlanningEntries()).To(BeZero())
 	})
 
+	// Guards against one schedule whose occurrences are all due and take more memory than the hosts have, at each start again.
+	It("holds occurrences that are due back while tasks of earlier ones wait, and runs them all", func() {
+		w := newWorld(1, 8)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "large", Payload: "work=100", Steps: []domain.Step{step(15000, 9), step(5000, 9)}, RepeatCount: 20})
+		w.submit(domain.JobSpec{ID: "small", Payload: "work=10", Steps: []domain.Step{step(8, 0)}, RepeatCount: 50})
+		w.submit(domain.JobSpec{ID: "next", Payload: "work=10", Steps: []domain.Step{step(10001, 0)}, RepeatCount: 2})
+		w.run(1200 * time.Millisecond)
+		Expect(w.stateMachine.Job("large").Occurrences).To(HaveLen(1))
+		Expect(w.stateMachine.Job("small").Occurrences).To(HaveLen(50), "all that are due")
+		Expect(w.stateMachine.Job("next").Occurrences).To(HaveLen(1))
+		w.run(20 * time.Second)
+		Expect(w.state("small")).To(Equal(domain.JobCompleted))
+		Expect(w.state("next")).To(Equal(domain.JobCompleted))
+	})
+
 	It("fails a job whose task has used up its attempts, and counts a gang once", func() {
 		w := newWorld(1, 8)
 		w.run(time.Second)
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -224,8 +224,26 @@
 		"confirmed", a.startConfirmed, "adopted_ms", (now.Mono - a.adoptedAt).Milliseconds())
 }
 
+// maxReleasedTasks is how many tasks of a schedule the occurrences may have that are released and not done, as many as the
+// domain accepts in one job. Without it, a schedule whose occurrences are all due takes more memory than a host has.
+const maxReleasedTasks = 20000
+
+// releaseRoom returns how many further occurrences of a job may be released now; one if none is open.
+func releaseRoom(j *domain.Job) int {
+	tasks, open := 0, 0
+	for i := range j.Spec.Steps {
+		tasks += j.Spec.Steps[i].Count
+	}
+	for _, o := range j.Occurrences {
+		if !o.Done {
+			open++
+		}
+	}
+	return max(1, maxReleasedTasks/max(1, tasks)) - open
+}
+
 // releaseDueOccurrences proposes to add the occurrences of scheduled jobs that are due, or will be within
-// Options.EarlyStart.
+// Options.EarlyStart, as far as releaseRoom allows.
 func (l *Leader) releaseDueOccurrences(now Time) {
 	for id, j := range l.state.OpenJobs() {
 		n := len(j.Occurrences)
@@ -237,6 +255,9 @@
 		for due < j.Spec.Occurrences() && j.Spec.DueMS(due) <= limit {
 			due++
 		}
+		if due > n {
+			due = min(due, n+releaseRoom(j))
+		}
 		if due > n && l.releasing[id] == 0 {
 			l.releasing[id] = due
 			l.propose(now, domain.Command{Release: &domain.ReleaseOccurrences{Job: id, Count: due}})
