--- a/internal/corehost/peers_test.go
+++ b/internal/corehost/peers_test.go
@@ -23,9 +23,11 @@
 )
 
 // openHost opens a founding voter, which does not run yet.
-func openHost(folder string) *Host {
+func openHost(folder string) *Host { return openAs(folder, testVoters[0], testVoters) }
+
+func openAs(folder, address string, seeds []string) *Host {
 	h, err := Open(Settings{
-		Address: testVoters[0], Zone: "z", DataFolder: folder, Founding: true, Seeds: testVoters,
+		Address: address, Zone: "z", DataFolder: folder, Founding: true, Seeds: seeds,
 		Dispatch: dispatch.Options{LeaseDuration: 10 * time.Second, GangWait: 3 * time.Second, ReportPeriod: time.Second, Retention: time.Minute},
 	}, Clients{}, NewMetrics(), logr.Discard())
 	Expect(err).NotTo(HaveOccurred())
@@ -33,10 +35,14 @@
 }
 
 // deliver passes messages of the leader to a host, as the server of the port between hosts does: it recovers from a panic.
-func deliver(h *Host, messages ...replica.Message) (err error) {
-	b := &rpc.Batch{From: testLeader.Host}
+func deliver(h *Host, messages ...replica.Message) error {
+	return deliverFrom(testLeader, h, messages...)
+}
+
+func deliverFrom(leader replica.Member, h *Host, messages ...replica.Message) (err error) {
+	b := &rpc.Batch{From: leader.Host}
 	for _, m := range messages {
-		m.Group, m.From, m.To = groupName, testLeader, testVoters[0]
+		m.Group, m.From, m.To = groupName, leader, h.settings.Address
 		data, err := cbor.Marshal(m)
 		Expect(err).NotTo(HaveOccurred())
 		b.Payloads = append(b.Payloads, data)
