dispatch, corehost: a worker that refuses the fencing token stops no leader

What callers saw: one answer 409 with reason "fence" of one worker (or of the machine API) stopped the whole domain. The core host stayed the leader of the log, so no other was elected, and answered every caller and operator with 503 until its term changed.

Cause: the refusal ended the leadership of the dispatcher in that term, and a new one begins in a new term only. The refusal counted as proof of a newer leader; but calls are only made under the leader lease, which excludes one. A token that no leader of the domain has sent (another writer, a faulty worker) had the same effect.

Change: the role and the term of the log alone end a leadership. A worker that has refused the token is not called again in the leadership and gets no tasks; those on it are lost when its lease ends. A machine whose upkeep was refused so is not ordered again.

--- a/internal/corehost/apply_test.go
+++ b/internal/corehost/apply_test.go
@@ -20,12 +20,14 @@
 const unreadable = "i-\xff\xfe01"
 
 // startAlone runs a host that is the only voter, and returns it once it leads.
-func startAlone() *Host {
+func startAlone() *Host { return startAloneWith(Clients{}) }
+
+func startAloneWith(clients Clients) *Host {
 	const address = "127.0.0.1"
 	h, err := Open(Settings{
 		Address: address, Zone: "z", DataFolder: GinkgoT().TempDir(), Founding: true, Seeds: []string{address},
 		Dispatch: dispatch.Options{LeaseDuration: 10 * time.Second, GangWait: 3 * time.Second, ReportPeriod: time.Second, Retention: time.Minute},
-	}, Clients{}, NewMetrics(), logr.Discard())
+	}, clients, NewMetrics(), logr.Discard())
 	Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -261,12 +261,11 @@
 }
 
 // checkLeadership begins a leadership once this host leads with a valid leader lease and has applied all entries before
-// its term. It ends the leadership when the role or the term changes, or when the leader is deposed, see
-// dispatch.Leader.
+// its term. It ends the leadership when the role or the term changes.
 func (h *Host) checkLeadership(now dispatch.Time) {
 	role := h.replica.Role()
-	if h.leader != nil && (role != replica.Leader || h.replica.Term() != h.leaderTerm || h.leader.Deposed()) {
-		h.log.Info("leadership_ended", "term", h.leaderTerm, "new_term", h.replica.Term(), "deposed_by_worker", h.leader.Deposed())
+	if h.leader != nil && (role != replica.Leader || h.replica.Term() != h.leaderTerm) {
+		h.log.Info("leadership_ended", "term", h.leaderTerm, "new_term", h.replica.Term())
 		h.leader = nil
 		h.dropPendingProposals()
 	}
--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -142,3 +142,23 @@
 		*r = dispatch.Reply{Status: dispatch.BadCall, ClockMS: r.ClockMS}
 	}),
 )
+
+var _ = Describe("a worker that refuses the fencing token", func() {
+	It("loses its attempts when its lease is over, and others run the tasks", func() {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=3000", Steps: []domain.Step{step(24, 1)}})
+		w.run(4 * time.Second)
+		w.changeAnswer = func(c dispatch.Call, r *dispatch.Reply) {
+			if c.Worker.ID == badWorker {
+				*r = dispatch.Reply{Status: dispatch.RejectedFence, ClockMS: r.ClockMS}
+			}
+		}
+		w.run(6 * time.Second)
+		w.calls = nil
+		w.run(40 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+		Expect(w.calls).NotTo(ContainElement(HaveField("Worker.ID", badWorker)), "it is not called again with the same token")
+	})
+})
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -23,6 +23,7 @@
 		}
 		s := l.session(a.incarnation, now)
 		switch {
+		case s.fenced:
 		case s.lossInFlight || s.forgetInFlight: // An attempt that is started now could run while its task starts elsewhere.
 		case a.stopWanted && !a.stopConfirmed:
 			a.callsInFlight++
@@ -164,7 +165,7 @@
 	}
 	s.learnClock(now.Mono, r.ClockMS)
 	if r.Status == RejectedFence {
-		l.deposed = true
+		l.refusedFence(s)
 		return
 	}
 	if p.call.Kind == CallHold && (r.Status != OK || !r.HasLists) {
@@ -183,6 +184,17 @@
 	}
 }
 
+// refusedFence handles the answer of a worker that has seen a higher fencing token. If a newer leader has sent it, the leader
+// lease of this host is over and nothing is sent any more. Otherwise the token is of no leader of this domain: the worker is
+// not called again in this leadership, and its attempts are lost when its leases end.
+func (l *Leader) refusedFence(s *session) {
+	if !s.fenced {
+		s.fenced = true
+		l.dirty = true
+		l.options.Log("worker_refuses_fence", "worker", s.incarnation.ID, "fencing_token", l.options.FencingToken)
+	}
+}
+
 // incarnationOver proposes to forget a worker's incarnation after another one has answered at its address.
 func (l *Leader) incarnationOver(now Time, s *session) {
 	if !s.forgetInFlight {
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -69,7 +69,7 @@
 		delete(l.toHold, s)
 	}
 	w := l.state.Worker(s.incarnation.ID)
-	if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced || l.foreign(w) {
+	if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced || s.fenced || l.foreign(w) {
 		return
 	}
 	busy := len(w.Attempts()) > 0
--- a/internal/dispatch/late.go
+++ b/internal/dispatch/late.go
@@ -50,7 +50,7 @@
 func (l *Leader) rejectLateStarts(now Time) {
 	for id := range l.lateStarts {
 		w, s := l.state.Worker(id), l.sessions[id]
-		if w == nil || s == nil || s.incarnation != w.Incarnation || s.failures > 0 || s.lossInFlight || s.forgetInFlight {
+		if w == nil || s == nil || s.incarnation != w.Incarnation || s.failures > 0 || s.fenced || s.lossInFlight || s.forgetInFlight {
 			continue
 		}
 		for _, x := range l.toReject(now, s) {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -81,7 +81,6 @@
 	roundTrip       time.Duration // From the last call that was answered at once to its answer, as handled here.
 	nextPurgeAt     time.Duration
 	nextWatchAt     time.Duration
-	deposed         bool
 	out             Output // Collected for the next return of Tick.
 	adviceCache     adviceCache
 	upkeeps         map[string]*upkeepState // By machine.
@@ -202,9 +201,6 @@
 	return s
 }
 
-// Deposed tells whether a worker or the platform has refused a call because it has seen a newer leader.
-func (l *Leader) Deposed() bool { return l.deposed }
-
 // WorkerReported handles a report of a registered worker.
 func (l *Leader) WorkerReported(now Time, incarnation domain.WorkerIncarnation, clockMS int64) {
 	s := l.session(incarnation, now)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -45,6 +45,7 @@
 	earlierLeaseEnd time.Duration
 	// unfenced is set until the worker has answered its first hold, which makes it reject the starts of earlier leaders.
 	unfenced       bool
+	fenced         bool          // It has refused the fencing token of this leader, and is not called again.
 	replaced       bool          // Another incarnation with its identifier has answered.
 	leaving        bool          // The worker has announced its end; it is forgotten once it has no attempts.
 	gone           bool          // It has announced its end, and then nothing listened at its address: it runs nothing any more.
@@ -96,8 +97,8 @@
 // silent tells whether the worker has stopped answering. Its lease is then not extended, so that it ends and the tasks
 // can start elsewhere.
 func (s *session) silent(now time.Duration) bool {
-	return s.failures > 0 && now-max(s.answeredAt, s.createdAt) > silentAfter
+	return (s.failures > 0 || s.fenced) && now-max(s.answeredAt, s.createdAt) > silentAfter
 }
 
-// ending tells whether the incarnation has ended or is about to end.
-func (s *session) ending() bool { return s.forgetInFlight || s.leaving || s.replaced }
+// ending tells whether the incarnation has ended, is about to end or takes no calls of this leader.
+func (s *session) ending() bool { return s.forgetInFlight || s.leaving || s.replaced || s.fenced }
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -57,6 +57,7 @@
 	begunAt         time.Duration // When the platform confirmed the upkeep.
 	nextCallAt      time.Duration // Earliest time of the next call.
 	callInFlight    bool
+	fenced          bool // The platform has refused the fencing token of this leader; it is not called again.
 	commandInFlight bool // A command with its next stage is proposed and not applied yet.
 	outcomeUnknown  bool // An earlier call, possibly of an earlier leader, was not answered.
 }
@@ -178,7 +179,7 @@
 // leader's lease on the machine is over, so that the platform does not get alternating calls from two lease holders.
 func (l *Leader) orderUpkeep(now Time, wave *domain.Wave, machine string, s *upkeepState) {
 	inherited := wave.Progress[machine].AtMS < l.beganWallMS
-	if s.callInFlight || s.commandInFlight || now.Mono < s.nextCallAt || (inherited && now.Mono < l.beganAt+l.options.MachineLease) {
+	if s.fenced || s.callInFlight || s.commandInFlight || now.Mono < s.nextCallAt || (inherited && now.Mono < l.beganAt+l.options.MachineLease) {
 		return
 	}
 	s.callInFlight = true
@@ -241,7 +242,7 @@
 		s.begunAt = now.Mono
 		l.proposeStage(now, wave, c.Machine, s, domain.UpkeepBegun)
 	case UpkeepFenced:
-		l.deposed = true
+		s.fenced = true // No newer leader sends, or this host's leader lease would be over.
 	case UpkeepNoMachine:
 		l.proposeStage(now, wave, c.Machine, s, domain.UpkeepOver)
 	case UpkeepUnanswered:
