corehost: a report that names no worker to use changes nothing

What callers saw: a report of another writer with a service that no configuration names was registered and stored. With the address of a worker and a later "born" it removed that worker, whose tasks started again elsewhere while they ran there, and whose own reports were then taken for delayed ones. With the id of a worker it moved the worker out of its service. Reports of an earlier life, and of a worker that says it is ready after it has drained, put an entry into the log each time.

Cause: the service was looked at only when work was placed, and what changes nothing was found out only after the commit.

Change: a report with an unknown service is acknowledged and ignored, unless the worker is registered for that service (a later configuration may have removed it; it still tells that it drains). Reports that would change nothing are not proposed. The state machine is as before, so hosts of both versions apply the same. A worker of a service that a later configuration adds is registered by its first report after it.

--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -242,20 +242,35 @@
 }
 
 // register handles the report of a worker. A command is committed only if the report changes the registration. The
-// leader learns of each report, and with it of the worker's clock.
+// leader learns of each report, and with it of the worker's clock. A report that names no worker to use changes nothing.
 func (h *Host) register(ctx context.Context, now dispatch.Time, op service.Operation) service.Result {
 	r := service.Result{Outcome: service.Done}
+	old := h.stateMachine.Worker(op.Worker.Incarnation.ID)
+	if h.namesNoWorker(op.Worker, old) {
+		return r
+	}
+	if old != nil && old.Incarnation == op.Worker.Incarnation && old.Draining {
+		op.Worker.Draining = true
+	}
 	if !h.stateMachine.Registered(op.Worker) {
-		old := h.stateMachine.Worker(op.Worker.Incarnation.ID)
-		if old != nil && old.Incarnation == op.Worker.Incarnation && old.Draining {
-			op.Worker.Draining = true
-		}
 		r = h.commitOperation(ctx, now, &domain.Command{Register: op.Worker})
 	}
 	h.noteReport(now, op.Worker, op.ClockMS)
 	return r
 }
 
+// namesNoWorker tells whether a report is to be ignored: it was sent by an earlier incarnation than the registered one, or it
+// names a service that the configuration does not have. A worker of a service that was removed still reports that it drains.
+func (h *Host) namesNoWorker(reported, registered *domain.Worker) bool {
+	if registered != nil && registered.Incarnation.BornMS > reported.Incarnation.BornMS {
+		return true
+	}
+	if h.stateMachine.Config() == nil || h.stateMachine.HasPool(reported.Pool) {
+		return false
+	}
+	return registered == nil || registered.Incarnation != reported.Incarnation || registered.Pool != reported.Pool
+}
+
 // Limits of the wait for the departure of a worker.
 const (
 	leaveTimeout   = 800 * time.Millisecond // A worker sends its notice to another host after a second without an answer.
