service: a job beyond what can be kept or computed is refused at once

What callers saw: a job with 100,000 occurrences of 20,000 tasks that are due at once was accepted; its tasks alone take more memory than a host has, on each host and again at each start. So were negative intervals, limits and run times, resources of 2^62 and times of 2^63-1 (sums overflow: a negative need counts as covered by any guarantee), a spec over 4,000 bytes, labels of a megabyte, a step that names one dependency 100,000 times, and names with control characters or of any length.

Cause: only counts, resources below 0 and the order of the steps were checked.

--- a/internal/service/decide.go
+++ b/internal/service/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"unicode"
 
 	"github.com/mustardwalk/mustardwalk/internal/domain"
 )
@@ -61,7 +62,7 @@
 	if m.Job(id) != nil {
 		return Answer{Verdict: Accepted}, nil
 	}
-	if !validDocument(req.Document) || strings.ContainsAny(string(id), "./") {
+	if !validDocument(req.Document) || !validName(id) {
 		return Answer{Verdict: Invalid}, nil
 	}
 	spec := *req.Document
@@ -72,27 +73,62 @@
 
 // Limits of a job document.
 const (
-	maxSteps       = 256
-	maxTasks       = 20000 // Of all steps together.
-	maxOccurrences = 100000
+	maxPayloadBytes = 4000 // Largest payload that workers accept.
+	maxTextBytes    = 64 << 10
+	maxNameBytes    = 64 // Of the job. Each of its tasks has the name.
+	maxSteps        = 256
+	maxTasks        = 20000 // Of all steps together.
+	maxOccurrences  = 100000
+	maxAllTasks     = 100000 // Of all occurrences together. They are kept in memory until the job has ended.
+	// maxAmount bounds resources, in their units, and durations, in milliseconds, so that no sum over a job or a fleet overflows:
+	// a billion cores, 34 years.
+	maxAmount = 1 << 40
+	maxTimeMS = 1<<53 - 1 // Of a point in time, Unix milliseconds.
 )
 
+// validName reports whether a name can be that of a job: the names of its tasks are made of it, with dots.
+func validName(id domain.JobID) bool {
+	return len(id) <= maxNameBytes && !strings.ContainsAny(string(id), "./") && !strings.ContainsFunc(string(id), unicode.IsControl)
+}
+
 // validDocument reports whether a job document is within the limits and its steps depend on earlier steps only.
 func validDocument(s *domain.JobSpec) bool {
-	if s == nil || len(s.Steps) == 0 || len(s.Steps) > maxSteps || s.RepeatCount < 0 || s.RepeatCount > maxOccurrences {
+	if s == nil || len(s.Steps) == 0 || len(s.Steps) > maxSteps || len(s.Payload) > maxPayloadBytes || !validSchedule(s) {
 		return false
 	}
-	tasks := 0
-	for i, step := range s.Steps {
-		if step.Count <= 0 || step.Count > maxTasks || step.Task.CPU < 0 || step.Task.MemoryMB < 0 || step.Task.Accelerators < 0 {
+	tasks, texts := 0, 0
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if !validStep(i, step) {
 			return false
 		}
 		tasks += step.Count
-		for _, d := range step.DependsOn {
-			if d < 0 || d >= i {
-				return false
-			}
+		texts += len(step.Label) + len(step.DataRack) + len(step.Image)
+	}
+	return tasks <= maxTasks && tasks*s.Occurrences() <= maxAllTasks && texts <= maxTextBytes
+}
+
+func validSchedule(s *domain.JobSpec) bool {
+	return s.RepeatCount >= 0 && s.RepeatCount <= maxOccurrences && validAmounts(s.IntervalMS) && s.StartAtMS >= 0 && s.StartAtMS <= maxTimeMS
+}
+
+func validStep(i int, s *domain.Step) bool {
+	if s.Count <= 0 || s.Count > maxTasks || s.PerWorkerLimit < 0 || s.MaxUnavailable < 0 || len(s.DependsOn) > maxSteps {
+		return false
+	}
+	for _, d := range s.DependsOn {
+		if d < 0 || d >= i {
+			return false
+		}
+	}
+	return validAmounts(s.Task.CPU, s.Task.MemoryMB, s.Task.Accelerators, s.EstimateMS, s.LatencyTargetMS)
+}
+
+func validAmounts(values ...int64) bool {
+	for _, v := range values {
+		if v < 0 || v > maxAmount {
+			return false
 		}
 	}
-	return tasks <= maxTasks
+	return true
 }
