--- a/internal/service/decide.go
+++ b/internal/service/decide.go
@@ -61,7 +61,7 @@
 	if m.Job(id) != nil {
 		return Answer{Verdict: Accepted}, nil
 	}
-	if req.Document == nil || req.Document.CheckSteps() != nil || strings.ContainsAny(string(id), "./") {
+	if !validDocument(req.Document) || !validName(id) {
 		return Answer{Verdict: Invalid}, nil
 	}
 	spec := *req.Document
