corehost: a report without an identifier is refused again

Reports with an unknown service are ignored with an acknowledgement, and one without an identifier names none that is known; it is to be refused, as it is when it would be stored.

Change: the identifier is looked at first. The good report in the spec of calls between hosts names the service of its configuration, so that it is registered there; the host of that spec has a client for workers now, since it calls this one.

All pass now, also with the race detector.

--- a/internal/corehost/foreign_test.go
+++ b/internal/corehost/foreign_test.go
@@ -36,11 +36,11 @@
 var _ = Describe("a call from another host", Ordered, ContinueOnFailure, func() {
 	var h *Host
 	BeforeAll(func() {
-		h = startAlone()
+		h = startAloneWith(Clients{Workers: silentWorkers{}})
 		config := &domain.Config{Version: 1, Document: []byte("{}"), Pools: []domain.Pool{{Name: "p"}}, Queues: []domain.Queue{{Name: "q", Pool: "p", Public: true}}}
 		Expect(h.operate(context.Background(), service.Operation{Kind: service.PutConfig, Config: config}).Outcome).To(Equal(service.Done))
 	})
-	goodReport := service.Report{Worker: &domain.Worker{Incarnation: domain.WorkerIncarnation{ID: "i-1", BornMS: 1}, Address: "10.0.0.1:80"}}
+	goodReport := service.Report{Worker: &domain.Worker{Incarnation: domain.WorkerIncarnation{ID: "i-1", BornMS: 1}, Pool: "p", Address: "10.0.0.1:80"}}
 
 	// Guards against values that no host of this version sends, and that would end the host, or be stored without meaning.
 	DescribeTable("is refused if it has no value that can be stored", func(ctx SpecContext, kind service.OperationKind, data []byte, want service.Outcome) {
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -243,6 +243,9 @@
 // register handles the report of a worker. A command is committed only if the report changes the registration. The
 // leader learns of each report, and with it of the worker's clock. A report that names no worker to use changes nothing.
 func (h *Host) register(ctx context.Context, now dispatch.Time, op service.Operation) service.Result {
+	if op.Worker.Incarnation.ID == "" {
+		return service.Result{Outcome: service.Refused}
+	}
 	r := service.Result{Outcome: service.Done}
 	old := h.stateMachine.Worker(op.Worker.Incarnation.ID)
 	if h.namesNoWorker(op.Worker, old) {
