domain: limits of submissions decide no entry of the log

The first version with another limit of steps, tasks or occurrences would have skipped, or executed, other entries than the hosts beside it: an accepted job lost on some hosts only.

Cause: skips entries that cannot be executed, and its check had the limits of submissions in it.

Change: what is checked when an entry is applied is apart from the limits, which are checked before a command enters the log. A bound remains for entries whose tasks would not fit into memory; it belongs to the format of the log. The entry of the spec for jobs that cannot be executed that had 20,001 tasks names that bound now; the former numbers have a spec that asks for both halves.

--- a/internal/domain/check.go
+++ b/internal/domain/check.go
@@ -37,25 +37,49 @@
 	return nil
 }
 
-// Limits of a job.
+// Limits of a job that is submitted.
 const (
 	maxSteps       = 256
 	maxTasks       = 20000 // Of all steps together.
 	maxOccurrences = 100000
 )
 
-// CheckSteps returns an error if the steps of a job are not within the limits, or depend on other than earlier steps.
+// maxLoggedTasks bounds the tasks of one occurrence of a job in the log. Unlike the limits of submissions it is a part of the
+// format of the log: hosts with different bounds would hold different states.
+const maxLoggedTasks = 1 << 24
+
+// CheckSteps returns an error if a job cannot be executed or is not within the limits.
 func (s *JobSpec) CheckSteps() error {
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return eris.Errorf("%d steps are not between 1 and %d", len(s.Steps), maxSteps)
+	if err := s.checkExecutable(); err != nil {
+		return err
+	}
+	if len(s.Steps) > maxSteps || s.RepeatCount > maxOccurrences {
+		return eris.Errorf("%d steps and %d occurrences are more than %d and %d", len(s.Steps), s.RepeatCount, maxSteps, maxOccurrences)
+	}
+	if tasks := s.tasks(); tasks > maxTasks {
+		return eris.Errorf("%d tasks are more than %d", tasks, maxTasks)
+	}
+	return nil
+}
+
+// tasks returns the number of tasks of one occurrence.
+func (s *JobSpec) tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
 	}
-	if s.RepeatCount < 0 || s.RepeatCount > maxOccurrences {
-		return eris.Errorf("%d occurrences are not between 0 and %d", s.RepeatCount, maxOccurrences)
+	return n
+}
+
+// checkExecutable returns an error if the state machine cannot work with a job, or could not hold its tasks.
+func (s *JobSpec) checkExecutable() error {
+	if len(s.Steps) == 0 || s.RepeatCount < 0 {
+		return eris.Errorf("a job with %d steps and %d occurrences", len(s.Steps), s.RepeatCount)
 	}
 	tasks := 0
 	for i, step := range s.Steps {
-		if step.Count <= 0 || step.Count > maxTasks-tasks {
-			return eris.Errorf("step %d: the number of tasks is %d, of all steps at most %d", i, step.Count, maxTasks)
+		if step.Count <= 0 || step.Count > maxLoggedTasks-tasks {
+			return eris.Errorf("step %d: the number of tasks is %d, of all steps at most %d", i, step.Count, maxLoggedTasks)
 		}
 		tasks += step.Count
 		if step.Task.CPU < 0 || step.Task.MemoryMB < 0 || step.Task.Accelerators < 0 {
@@ -72,6 +96,14 @@
 
 // checkExecutable returns an error if Apply could not execute a command. No host of any version has applied one.
 func (c *Command) checkExecutable() error {
+	if c.Submit != nil {
+		return c.Submit.checkExecutable()
+	}
+	return nil
+}
+
+// checkLimits returns an error if a command that is to enter the log is not within the limits.
+func (c *Command) checkLimits() error {
 	if c.Submit != nil {
 		return c.Submit.CheckSteps()
 	}
--- a/internal/domain/codec.go
+++ b/internal/domain/codec.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"errors"
 	"math"
 
 	"github.com/fxamacker/cbor/v2"
@@ -44,8 +45,5 @@
 	if err := strictDecoder.Unmarshal(data, &c); err != nil {
 		return eris.Wrap(err, "checking a command")
 	}
-	if err := c.checkExecutable(); err != nil {
-		return eris.Wrap(err, "checking a command")
-	}
-	return eris.Wrap(c.checkComplete(), "checking a command")
+	return eris.Wrap(errors.Join(c.checkLimits(), c.checkComplete()), "checking a command")
 }
--- a/internal/domain/codec_test.go
+++ b/internal/domain/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -49,13 +50,30 @@
 		Entry("without steps", nil, 0),
 		Entry("with a negative number of tasks", []domain.Step{{Count: -1}}, 0),
 		Entry("with more tasks than memory can hold", []domain.Step{{Count: math.MaxInt}}, 0),
-		Entry("with too many tasks in all", []domain.Step{{Count: 20000}, {Count: 1}}, 0),
+		Entry("with more tasks in all than the log may hold", []domain.Step{{Count: 1 << 24}, {Count: 1}}, 0),
 		Entry("with a negative number of occurrences", []domain.Step{{Count: 1}}, -1),
 		Entry("with a step that depends on itself", []domain.Step{{Count: 1, DependsOn: []int{0}}}, 0),
 		Entry("with a step that depends on none of its job", []domain.Step{{Count: 1, DependsOn: []int{7}}}, 0),
 		Entry("with a step that depends on a negative one", []domain.Step{{Count: 1}, {Count: 1, DependsOn: []int{-1}}}, 0),
 	)
 
+	// Guards against limits of submissions that decide which entries of the log a host executes: hosts of two versions with
+	// different limits would hold different states.
+	DescribeTable("refuses a job beyond the limits, but executes one in the log", func(steps []domain.Step, repeat int) {
+		data := (&domain.Command{Submit: &domain.JobSpec{ID: "j", Steps: steps, RepeatCount: repeat}}).Encode()
+		Expect(domain.CheckCommand(data)).NotTo(Succeed())
+		c, err := domain.DecodeCommand(data)
+		Expect(err).NotTo(HaveOccurred())
+		m := domain.New()
+		Expect(m.Apply(c)).To(Equal(domain.Applied))
+		Expect(m.Job("j")).NotTo(BeNil())
+	},
+		Entry("with too many tasks in a step", []domain.Step{{Count: 20001}}, 0),
+		Entry("with too many tasks in all", []domain.Step{{Count: 20000}, {Count: 1}}, 0),
+		Entry("with too many steps", slices.Repeat([]domain.Step{{Count: 1}}, 257), 0),
+		Entry("with too many occurrences", []domain.Step{{Count: 1}}, 100001),
+	)
+
 	It("applies commands that name no task of a job as ones that change nothing", func() {
 		m := domain.New()
 		m.Apply(&domain.Command{Submit: &domain.JobSpec{ID: "j", Steps: single}})
