corehost: a report without an outcome in the leader's answer is not acknowledged

If the leader's answer to a batch lists fewer outcomes than the batch has reports, the rest were acknowledged: a worker could take its drain for known though no host has stored it.

Cause: the outcome of the call stood in for a missing outcome of a report.

Change: a missing outcome is unclear, and the worker reports again.

Evidence: the new spec failed before, and passes.

--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -70,10 +70,12 @@
 	r := b.send(context.Background(), service.Operation{Kind: service.RegisterMany, Reports: batch.reports})
 	for i := range batch.outcomes {
 		switch {
-		case r.Outcome == service.Done && i < len(r.Document):
+		case r.Outcome != service.Done:
+			batch.outcomes[i] = r.Outcome
+		case i < len(r.Document):
 			batch.outcomes[i] = service.Outcome(r.Document[i])
 		default:
-			batch.outcomes[i] = r.Outcome
+			batch.outcomes[i] = service.OutcomeUnknown // The leader has said nothing about this report.
 		}
 		if batch.outcomes[i] == service.Redirect { // The leader has just changed; the worker reports elsewhere.
 			batch.outcomes[i] = service.NotServing
--- a/internal/corehost/reports_test.go
+++ b/internal/corehost/reports_test.go
@@ -66,6 +66,14 @@
 		Expect(b.pass(ctx, report(1, service.Done)).Outcome).To(Equal(service.NotServing))
 	})
 
+	// Guards against a worker that takes its drain for known though the leader has said nothing about its report.
+	It("are answered as unclear if the leader's answer has no outcome for them", func(ctx SpecContext) {
+		b := &reportBatches{send: func(context.Context, service.Operation) service.Result {
+			return service.Result{Outcome: service.Done}
+		}}
+		Expect(b.pass(ctx, report(1, service.Done)).Outcome).To(Equal(service.OutcomeUnknown))
+	})
+
 	It("are answered as unclear when the worker stops waiting", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
