corehost: a host whose replica was left half changed by a panic takes no further message

Cause: covers what follows from a message, not the handling of the message itself.

Change: the host is marked as failed in that case, too, and ends.

Evidence: the spec with a panic in the replica failed before, and passes.

--- a/internal/corehost/peers.go
+++ b/internal/corehost/peers.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
 	"github.com/mustardwalk/mustardwalk/internal/replica"
 	"github.com/mustardwalk/mustardwalk/internal/rpc"
 )
@@ -126,6 +127,19 @@
 	}
 }
 
+// stepReplica passes a message to the replica. After a panic in it, from which the server of a call recovers, the replica may
+// be half changed, so the host must end.
+func (h *Host) stepReplica(now dispatch.Time, m replica.Message) {
+	done := false
+	defer func() {
+		if !done {
+			h.fail(errOutputLost)
+		}
+	}()
+	h.replica.Step(now.Mono, m)
+	done = true
+}
+
 // Deliver implements rpc.Peer: it receives messages of another host.
 func (h *Host) Deliver(_ context.Context, b *rpc.Batch) (*rpc.Receipt, error) {
 	h.mu.Lock()
@@ -141,7 +155,7 @@
 			h.zones[m.From.Host] = m.From.Zone
 		}
 		if h.readSnapshot(m) {
-			h.replica.Step(now.Mono, m)
+			h.stepReplica(now, m)
 		}
 	}
 	defer func() { h.received = nil }()
--- a/internal/corehost/peers_test.go
+++ b/internal/corehost/peers_test.go
@@ -90,6 +90,18 @@
 		Expect(err).NotTo(HaveOccurred(), "it can start again")
 		Expect(state.Groups[groupName].LastIndex()).To(Equal(uint64(1)))
 	})
+
+	// Guards against a host that goes on with a replica that a panic has left half changed.
+	It("takes no further message after a panic in the replica", func() {
+		h := openHost(GinkgoT().TempDir())
+		r := h.replica
+		h.replica = nil
+		Expect(deliver(h, appendOf(0, zoneOut("z1")))).NotTo(Succeed())
+		h.replica = r
+		Expect(deliver(h, appendOf(0, zoneOut("z1")))).NotTo(Succeed())
+		Expect(h.disk.take()).To(BeEmpty())
+		Expect(h.Run(context.Background())).NotTo(Succeed())
+	})
 })
 
 var _ = Describe("a snapshot from another host", func() {
