httpapi: the own interface refuses texts that are not valid Unicode, and null

What callers saw: a job sent to the product's own interface with a payload that has bytes that are no text, or half a surrogate pair, was accepted with another payload, which its workers got. Null was taken for a missing value.

Cause: the validator of documents left texts to a library that replaces what is no text.

Change: both are findings, with their line.

--- a/internal/httpapi/decode.go
+++ b/internal/httpapi/decode.go
@@ -9,6 +9,8 @@
 	"reflect"
 	"strings"
 
+	"github.com/go-json-experiment/json/jsontext"
+
 	"github.com/mustardwalk/mustardwalk/api"
 )
 
@@ -17,11 +19,14 @@
 	maxFindings = 50
 )
 
-// Decode decodes one JSON object strictly: names must match exactly, and unknown or repeated fields, trailing data and
-// values of a wrong type are findings with their line and field. Into is a pointer to a struct.
+// Decode decodes one JSON object strictly: names must match exactly, and unknown or repeated fields, null, texts that are not
+// valid Unicode, trailing data and values of a wrong type are findings with their line and field. Into is a pointer to a struct.
 func Decode(data []byte, into any) []api.Finding {
 	v := &validator{data: data, decoder: json.NewDecoder(bytes.NewReader(data))}
 	v.object(reflect.TypeOf(into).Elem())
+	if len(v.findings) == 0 {
+		v.texts()
+	}
 	if len(v.findings) > 0 {
 		return v.findings
 	}
@@ -73,6 +78,19 @@
 	}
 }
 
+// texts adds a finding if a text is not valid Unicode: encoding/json would replace a part of it.
+func (v *validator) texts() {
+	d := jsontext.NewDecoder(bytes.NewReader(v.data))
+	if _, err := d.ReadValue(); err != nil {
+		offset := int64(0)
+		var syntax *jsontext.SyntacticError
+		if errors.As(err, &syntax) {
+			offset = syntax.ByteOffset
+		}
+		v.addFinding(offset, "", "a text is not valid Unicode")
+	}
+}
+
 // token reads the next token. If there is none, it adds a finding and sets broken.
 func (v *validator) token(path string) json.Token {
 	t, err := v.decoder.Token()
@@ -124,6 +142,8 @@
 		return
 	}
 	switch first {
+	case nil:
+		v.addFinding(v.decoder.InputOffset(), path, "null is not a value of this field")
 	case json.Delim('{'):
 		v.fields(structType(t), path, depth+1)
 	case json.Delim('['):
