soak: malformed input at every door during the faults

Checked: no process ends by itself; no malformed configuration, report, job or wave is answered with a 2xx status, read back, called or started; after the faults each core host answers with the same configuration, not older than the last that was acknowledged, and each entry host serves its routes.

A process that ends by itself is started again, as a platform does, so that what follows shows too. A worker that leaves ends without an acknowledgement after a while; before, a run without a leader went on for ever.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -185,12 +186,19 @@
 	}
 }
 
+// extraQueue is the queue that a version of the configuration has besides queues.
+func extraQueue(version int64) fleet.QueueRoute {
+	return fleet.QueueRoute{Prefix: fmt.Sprintf("/extra%d/", version%3), Priority: 1, Attempts: 20}
+}
+
+func configBody(version int64) []byte {
+	return fleet.ConfigBody(version, hostName, service, append(slices.Clone(queues), extraQueue(version)), apiKey)
+}
+
 // sendConfig sends a configuration until it is acknowledged or ctx ends.
 func (c *checker) sendConfig(ctx context.Context, version int64) {
 	op := &fleet.Operator{ControlAddresses: c.parent.controlAddresses()}
-	extra := fleet.QueueRoute{Prefix: fmt.Sprintf("/extra%d/", version%3), Priority: 1, Attempts: 20}
-	body := fleet.ConfigBody(version, hostName, service, append(slices.Clone(queues), extra), apiKey)
-	if op.Send(ctx, http.MethodPut, "/config", body) == http.StatusOK {
+	if op.Send(ctx, http.MethodPut, "/config", configBody(version)) == http.StatusOK {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.acked = append(c.acked, ackedConfig{version, time.Now()})
@@ -210,6 +218,10 @@
 		c.addViolation("host %d answered with a configuration that cannot be decoded: %v", host, err)
 		return
 	}
+	if read.Version >= firstMalformed || bytes.Contains(data, []byte(malformedMarker)) {
+		c.addViolation("CONFIG host %d answered with a malformed configuration: %.1500q", host, data)
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, a := range c.acked {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -33,6 +33,9 @@
 	killLimit = 5 * time.Second
 )
 
+// ownEndPause is the time until a process is started again that has ended by itself.
+const ownEndPause = 500 * time.Millisecond
+
 // Bounds of the pause between two faults, and of the duration of a fault.
 const (
 	minPause    = 100 * time.Millisecond
@@ -225,6 +228,24 @@
 	return r.restart(p)
 }
 
+// endedByItself notes the end of a process that nobody asked for, and starts it again, as a platform does, unless a fault does.
+func (r *run) endedByItself(p *process, cause error) {
+	r.checks.addViolation("FAULT %s ended without a request to stop: %v", p.name, cause)
+	time.Sleep(ownEndPause)
+	p.busy.Lock()
+	defer p.busy.Unlock()
+	r.mu.Lock()
+	closing := r.closing
+	r.mu.Unlock()
+	if closing || !p.hasEnded() {
+		return
+	}
+	p.founding = false
+	if err := r.restart(p); err != nil {
+		r.checks.addViolation("%s could not be started again: %v", p.name, err)
+	}
+}
+
 // stop stops a process as planned.
 func (r *run) stop(p *process) {
 	if err := p.signalAndWait(syscall.SIGTERM, stopLimit); err != nil {
--- a/soak/process.go
+++ b/soak/process.go
@@ -24,7 +24,7 @@
 	proxies                       []*Proxy
 	log                           *os.File
 	founding                      bool // Value of the setting bootstrap: true only for the first start.
-	unexpectedEnd                 func(format string, args ...any)
+	unexpectedEnd                 func(*process, error)
 	stalled                       func() time.Duration // For how long the machine has stalled so far.
 
 	busy sync.Mutex // Held by the fault that ends and starts the process or disturbs its connections.
@@ -81,7 +81,7 @@
 		p.mu.Unlock()
 		close(ended)
 		if !wanted {
-			p.unexpectedEnd("%s ended without a request to stop: %v", p.name, err)
+			p.unexpectedEnd(p, err)
 		}
 	}()
 	return nil
@@ -130,6 +130,18 @@
 	}
 }
 
+// hasEnded tells whether the process has ended and was not started again.
+func (p *process) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // startedUp tells whether the process handles signals: it logs its start only after that.
 func (p *process) startedUp() bool {
 	p.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,6 +30,7 @@
 	Entries         int           // Number of entry hosts, at most 200.
 	Workers         int           // At most 200; 0 for a small number that the seed determines.
 	Without         []string      // Kinds of faults that are not injected.
+	Malformed       bool          // Malformed input is sent to all hosts during the faults.
 }
 
 // hostPorts are below the range from which the system picks ports, so that they are free while a host or a worker is down.
@@ -74,6 +75,7 @@
 	eventsFile *os.File
 
 	stalled      time.Duration
+	closing      bool      // Processes that end are not started again.
 	coreFaults   int       // Faults of core hosts in progress.
 	coreFaultEnd time.Time // When the last of them ended.
 }
@@ -111,12 +113,16 @@
 	for operator := range operators {
 		g.Go(func() error { r.checks.changeConfigs(loadCtx, operator); return nil })
 	}
+	if options.Malformed {
+		g.Go(func() error { return r.sendMalformed(loadCtx) })
+	}
 	g.Go(func() error { return r.injectFaults(loadCtx) })
 	if err := g.Wait(); err != nil {
 		return Report{}, err
 	}
 	r.logEvent("faults_over")
 	r.checks.awaitCompletion(options.CompletionLimit)
+	r.checks.checkConfig(options.CompletionLimit)
 	return Report{
 		Jobs: r.checks.accepted(), Starts: r.checks.starts, Faults: r.faults, Violations: r.checks.violations(), Stalled: r.stalledTime(),
 	}, nil
@@ -178,7 +184,7 @@
 		}
 		p := &process{
 			name: fmt.Sprintf("%s-%d", role, i), role: role, proxyIP: r.ip(proxyNetwork, i), listenIP: r.ip(hostNetwork, i),
-			folder: r.options.Folder, program: r.options.Program, founding: true, unexpectedEnd: r.checks.addViolation, stalled: r.stalledTime,
+			folder: r.options.Folder, program: r.options.Program, founding: true, unexpectedEnd: r.endedByItself, stalled: r.stalledTime,
 		}
 		if err := r.startProcess(p); err != nil {
 			return err
@@ -263,12 +269,19 @@
 }
 
 func (r *run) stopAll() {
+	r.mu.Lock()
+	r.closing = true
+	r.mu.Unlock()
 	var all errgroup.Group
 	for _, p := range append(r.cores, r.entries...) {
 		for _, x := range p.proxies {
 			x.Close()
 		}
-		all.Go(func() error { return p.signalAndWait(syscall.SIGKILL, 5*time.Second) })
+		all.Go(func() error {
+			p.busy.Lock()
+			defer p.busy.Unlock()
+			return p.signalAndWait(syscall.SIGKILL, killLimit)
+		})
 	}
 	_ = all.Wait() // The run is over: how the processes end does not matter.
 	for _, p := range append(r.cores, r.entries...) {
--- a/soak/worker_faults.go
+++ b/soak/worker_faults.go
@@ -19,6 +19,7 @@
 	shortNotice   = 500 * time.Millisecond
 	minLinger     = time.Second
 	maxLinger     = 6 * time.Second
+	noticeLimit   = 20 * time.Second       // Longest time for which a worker repeats the announcement of its departure.
 	cutBefore     = 800 * time.Millisecond // Longest time between a cut and a fault of the leader that follows it.
 	cutAfterwards = 5 * time.Second        // Longest time between a fault of the leader and a cut that follows it.
 	longestCut    = 9 * time.Second
@@ -161,7 +162,10 @@
 	}
 	defer s.busy.Unlock()
 	r.began("worker_leave", s.current().Incarnation().ID)
-	return s.leave(context.Background(), d, between(random, 0, restartTime))
+	// A worker ends, with or without an acknowledgement.
+	ctx, cancel := context.WithTimeout(context.Background(), noticeLimit+d.Serves+d.Lingers)
+	defer cancel()
+	return s.leave(ctx, d, between(random, 0, restartTime))
 }
 
 // disturbLeaderAndCutWorkers kills, pauses or stops the leader, and cuts off workers shortly before or after that.
