--- a/soak/malformed.go
+++ b/soak/malformed.go
@@ -61,7 +61,7 @@
 	replaced := func(by string) []byte { return []byte(string(document[:s.from]) + by + string(document[s.to:])) }
 	switch random.IntN(6) {
 	case 0:
-		return document[:random.IntN(len(document))]
+		return document[:1+random.IntN(len(document)-1)]
 	case 1:
 		if s.key {
 			start := bytes.LastIndexByte(document[:s.from-2], '"') // Of the name.
@@ -109,7 +109,7 @@
 		malformedMarker, firstMalformed+random.Int64N(firstMalformed), hostName)
 	if random.IntN(2) == 0 {
 		head := strings.Index(document, `"version"`) // The note may have any value.
-		return append([]byte(document[:head]), bytes.TrimPrefix(spoil(random, []byte("{"+document[head:])), []byte("{"))...)
+		return append([]byte(document[:head]), spoil(random, []byte("{"+document[head:]))[1:]...)
 	}
 	return instead(random, document, [][2]string{
 		{`"service":"s"`, `"service":"x"`}, {`"timeout_ms":3000`, `"timeout_ms":0`}, {`"k2"`, `"k1"`}, {`"limits"`, `"unlimited"`},
--- a/soak/run.go
+++ b/soak/run.go
@@ -123,6 +123,7 @@
 	r.logEvent("faults_over")
 	r.checks.awaitCompletion(options.CompletionLimit)
 	r.checks.checkConfig(options.CompletionLimit)
+	r.checks.checkLogs()
 	return Report{
 		Jobs: r.checks.accepted(), Starts: r.checks.starts, Faults: r.faults, Violations: r.checks.violations(), Stalled: r.stalledTime(),
 	}, nil
--- a/soak/sender.go
+++ b/soak/sender.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 
 // Numbers and periods of the senders of malformed input.
 const (
+	senderStart   = 3 * time.Second         // Jobs are accepted before.
 	senders       = 4                       // Each with connections of its own.
 	senderPeriod  = 25 * time.Millisecond   // Between two calls of one sender.
 	senderTimeout = 1500 * time.Millisecond // Longer than an operator or a worker waits.
@@ -38,6 +40,7 @@
 	}
 	defer l.Close()
 	go r.checks.watchTrap(l)
+	time.Sleep(senderStart)
 	var g errgroup.Group
 	for i := range senders {
 		s := &sender{
@@ -85,6 +88,11 @@
 	case 2, 3:
 		s.refused("a malformed report", control, http.MethodPut, fmt.Sprintf("/instances/i-bad-%d", s.random.IntN(20)), badReport(s.random, s.trap))
 	case 4:
+		if s.random.IntN(2) == 0 {
+			worker := pick(s.random, s.run.workers).current().Incarnation()
+			s.refused("a malformed departure", control, http.MethodDelete, "/instances/"+worker.ID, spoil(s.random, fmt.Appendf(nil, `{"born":%d}`, worker.BornMS)))
+			return
+		}
 		s.call(control, pick(s.random, []string{http.MethodPut, http.MethodDelete}), "/instances/"+odd, nil, oddReport(s.random, net.JoinHostPort(core.listenIP, "1")))
 	case 5:
 		path := fmt.Sprintf("/p/%016x", 0xbad<<48|s.random.Uint64N(1<<40))
@@ -183,6 +191,19 @@
 	}
 }
 
+// checkLogs adds a violation for each host of which a call caused a panic, which its server or a handler has recovered.
+func (c *checker) checkLogs() {
+	for _, p := range append(slices.Clone(c.parent.cores), c.parent.entries...) {
+		data, err := os.ReadFile(p.log.Name())
+		if err != nil {
+			c.addViolation("the log of %s was not read: %v", p.name, err)
+		}
+		if i := bytes.Index(data, []byte("panic")); i >= 0 {
+			c.addViolation("PANIC in %s: %.600q", p.name, data[i:])
+		}
+	}
+}
+
 // configInForce tells whether a configuration that is at least as new is read back and in force, and what was seen.
 func (c *checker) configInForce(newest int64) (bool, string) {
 	s := &sender{run: c.parent, client: http.DefaultClient}
