--- a/internal/domain/check.go
+++ b/internal/domain/check.go
@@ -70,11 +70,18 @@
 	return nil
 }
 
-// checkExecutable returns an error if Apply could not execute a command. No host of any version has applied one.
+// checkExecutable returns an error if Apply could not execute a command, or would give hosts different states: no host knows
+// from a snapshot what runs on a worker without an identifier. No host of any version has let one into the log.
 func (c *Command) checkExecutable() error {
 	if c.Submit != nil {
 		return c.Submit.CheckSteps()
 	}
+	if c.Register != nil && c.Register.Incarnation.ID == "" {
+		return eris.New("a worker has no identifier")
+	}
+	if *c == (Command{AtMS: c.AtMS}) {
+		return eris.New("no change that this version knows")
+	}
 	return nil
 }
 
@@ -89,8 +96,6 @@
 		ok, field = c.Zone.Zone != "", "the name of a zone"
 	case c.Submit != nil:
 		ok, field = c.Submit.ID != "", "the identifier of a job"
-	case c.Register != nil:
-		ok, field = c.Register.Incarnation.ID != "", "the identifier of a worker"
 	case c.Wave != nil:
 		ok, field = c.Wave.MaxDown > 0 && !slices.Contains(c.Wave.Machines, ""), "the limit or a machine of a wave"
 	}
--- a/internal/domain/codec_test.go
+++ b/internal/domain/codec_test.go
@@ -56,6 +56,18 @@
 		Entry("with a step that depends on a negative one", []domain.Step{{Count: 1}, {Count: 1, DependsOn: []int{-1}}}, 0),
 	)
 
+	DescribeTable("refuses an entry without a change that it knows", func(data []byte) {
+		Expect(domain.CheckCommand(data)).NotTo(Succeed())
+		_, err := domain.DecodeCommand(data)
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("null", []byte{0xf6}),
+		Entry("no value", []byte{0xa0}),
+		Entry("a time alone", (&domain.Command{AtMS: 5}).Encode()),
+		Entry("a change of a later version", []byte{0xa2, 1, 5, 0x18, 99, 0xa0}),
+		Entry("a worker without an identifier", (&domain.Command{Register: &domain.Worker{Address: "10.0.0.1:80"}}).Encode()),
+	)
+
 	It("applies commands that name no task of a job as ones that change nothing", func() {
 		m := domain.New()
 		m.Apply(&domain.Command{Submit: &domain.JobSpec{ID: "j", Steps: single}})
