--- a/internal/domain/check.go
+++ b/internal/domain/check.go
@@ -53,6 +53,10 @@
 	if err := s.checkExecutable(); err != nil {
 		return err
 	}
+	return s.checkLimits()
+}
+
+func (s *JobSpec) checkLimits() error {
 	if len(s.Steps) > maxSteps || s.RepeatCount > maxOccurrences {
 		return eris.Errorf("%d steps and %d occurrences are more than %d and %d", len(s.Steps), s.RepeatCount, maxSteps, maxOccurrences)
 	}
@@ -94,18 +98,25 @@
 	return nil
 }
 
-// checkExecutable returns an error if Apply could not execute a command. No host of any version has applied one.
+// checkExecutable returns an error if Apply could not execute a command, or would give hosts different states: no host knows
+// from a snapshot what runs on a worker without an identifier. No host of any version has let one into the log.
 func (c *Command) checkExecutable() error {
 	if c.Submit != nil {
 		return c.Submit.checkExecutable()
 	}
+	if c.Register != nil && c.Register.Incarnation.ID == "" {
+		return eris.New("a worker has no identifier")
+	}
+	if *c == (Command{AtMS: c.AtMS}) {
+		return eris.New("no change that this version knows")
+	}
 	return nil
 }
 
 // checkLimits returns an error if a command that is to enter the log is not within the limits.
 func (c *Command) checkLimits() error {
 	if c.Submit != nil {
-		return c.Submit.CheckSteps()
+		return c.Submit.checkLimits()
 	}
 	return nil
 }
@@ -121,8 +132,6 @@
 		ok, field = c.Zone.Zone != "", "the name of a zone"
 	case c.Submit != nil:
 		ok, field = c.Submit.ID != "", "the identifier of a job"
-	case c.Register != nil:
-		ok, field = c.Register.Incarnation.ID != "", "the identifier of a worker"
 	case c.Wave != nil:
 		ok, field = c.Wave.MaxDown > 0 && !slices.Contains(c.Wave.Machines, ""), "the limit or a machine of a wave"
 	}
--- a/internal/domain/codec.go
+++ b/internal/domain/codec.go
@@ -45,5 +45,5 @@
 	if err := strictDecoder.Unmarshal(data, &c); err != nil {
 		return eris.Wrap(err, "checking a command")
 	}
-	return eris.Wrap(errors.Join(c.checkLimits(), c.checkComplete()), "checking a command")
+	return eris.Wrap(errors.Join(c.checkExecutable(), c.checkLimits(), c.checkComplete()), "checking a command")
 }
