dispatch: a worker that rejects each start does not keep the tasks

What callers saw: jobs did not complete while one worker of several answered each start with 409 (late, old, room, ticket) or 400: its capacity stayed free, so the next plan put the same tasks there again, and a start rejected as late was repeated at once, for ever, without a pause.

Cause: only an unhealthy worker (429, 503) was avoided after a rejection, and a late start had no limit.

Change: a worker that rejects more than 4 starts in a row, or answers 400, is avoided for a while, longer each time; a confirmed start ends the row. An attempt is given up after the third start that the worker takes for late.

--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -162,3 +162,41 @@
 		Expect(w.calls).NotTo(ContainElement(HaveField("Worker.ID", badWorker)), "it is not called again with the same token")
 	})
 })
+
+// Guards against tasks that are bound to a worker that never begins them, and against calls without a pause.
+var _ = DescribeTable("a worker that rejects each start", func(status dispatch.Status, clockMS func(int64) int64) {
+	w := newWorld(1, 3)
+	w.run(3 * time.Second)
+	isStart := func(c dispatch.Call) bool { return c.Worker.ID == badWorker && c.Kind == dispatch.CallStart }
+	w.refuse = func(c dispatch.Call) dispatch.Status {
+		if isStart(c) {
+			return status
+		}
+		return dispatch.OK
+	}
+	w.changeAnswer = func(c dispatch.Call, r *dispatch.Reply) {
+		if isStart(c) {
+			r.ClockMS = clockMS(r.ClockMS)
+		}
+	}
+	w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(24, 1)}})
+	w.run(20 * time.Second)
+	Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	starts := 0
+	for _, c := range w.calls {
+		if c.Worker.ID == badWorker && c.Kind == dispatch.CallStart {
+			starts++
+		}
+	}
+	Expect(starts).To(And(BeNumerically(">", 0), BeNumerically("<=", 100)))
+	Expect(w.violations).To(BeEmpty())
+},
+	Entry("as late", dispatch.RejectedLeaseOver, func(c int64) int64 { return c }),
+	Entry("as late, by a clock that goes back", dispatch.RejectedLeaseOver, func(int64) int64 { return 1 }),
+	Entry("as late, by a clock that is ahead", dispatch.RejectedLeaseOver, func(c int64) int64 { return c + 1e9 }),
+	Entry("as late, without a clock", dispatch.RejectedLeaseOver, func(int64) int64 { return 0 }),
+	Entry("for want of room", dispatch.RejectedCapacity, func(c int64) int64 { return c }),
+	Entry("for want of a ticket", dispatch.RejectedTicket, func(c int64) int64 { return c }),
+	Entry("as not understood", dispatch.BadCall, func(c int64) int64 { return c }),
+	Entry("as ended", dispatch.RejectedEnded, func(c int64) int64 { return c }),
+)
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -254,6 +254,11 @@
 		a.nextTryAt = now.Mono + min(retryMax, retryFirst<<min(a.tries, 4))
 		return
 	}
+	if r.Status == OK {
+		s.rejectedInARow = 0
+	} else if s.rejectedInARow++; s.rejectedInARow > maxRejectedInARow || r.Status == BadCall {
+		s.avoid(now.Mono)
+	}
 	switch r.Status {
 	case OK:
 		s.holdNow = s.holdNow || !l.hasConfirmedAttempt(l.state.Worker(s.incarnation.ID))
@@ -264,7 +269,9 @@
 		l.requestStop(a, "the worker lists it as ended or stopped")
 		a.stopConfirmed, a.confirmedAt, s.holdNow = true, now.Mono, true
 	case RejectedLeaseOver:
-		a.nextTryAt = now.Mono
+		if a.nextTryAt = now.Mono; a.tries >= maxLateTries { // Its clock does not agree with what it reports.
+			l.abandon(a, r.Status.String())
+		}
 	default:
 		l.options.Observer.StartRejected(r.Status)
 		l.options.Log("start_rejected", "job", a.task.Job, "task", a.task.String(), "attempt", a.number, "worker", s.incarnation.ID,
@@ -279,6 +286,15 @@
 	}
 }
 
+// Limits for workers that reject starts.
+const (
+	// maxRejectedInARow is how many starts a worker may reject, without one that it confirms, before it is avoided for a while.
+	// Some may be rejected since the capacity of what has ended there is not free yet.
+	maxRejectedInARow = 4
+	// maxLateTries is how often an attempt is started whose lease the worker takes for over. Each rejection contains the clock.
+	maxLateTries = 3
+)
+
 // abandon stops an attempt. The stop also keeps a worker that has not started it from carrying out a start that arrives
 // late. The members of a gang are stopped together.
 func (l *Leader) abandon(a *attemptState, reason string) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -22,22 +22,23 @@
 	hasClock     bool
 	leaseUntilMS int64 // Latest end of a lease that this leader has sent.
 	// answeredAt is when the worker last answered a call, reportedAt when its last report arrived.
-	answeredAt    time.Duration
-	reportedAt    time.Duration
-	everAnswered  bool
-	failures      int // Calls without an answer, or holds refused, since the last answer.
-	holdsInFlight int
-	nextHoldAt    time.Duration // Earliest time of the next hold.
-	endsInFlight  bool          // A command with ends of this worker is proposed and not applied yet.
-	lossInFlight  bool          // That command declares all its attempts lost: none may be started, and no lease renewed.
-	ackedCursor   int64         // Highest cursor that the worker has received.
-	holdNow       bool          // A hold that is answered at once is to be sent.
-	probing       bool          // A hold shows whether the worker can be reached; work waits for its answer.
-	probedAt      time.Duration // When that was asked for.
-	doneAt        time.Duration // When an attempt on it last ended as done.
-	failedInARow  int           // Consecutive failures that count against the worker.
-	avoidUntil    time.Duration // Until then, the worker gets no new attempts.
-	listClockMS   int64         // The worker's clock at its newest lists.
+	answeredAt     time.Duration
+	reportedAt     time.Duration
+	everAnswered   bool
+	failures       int // Calls without an answer, or holds refused, since the last answer.
+	holdsInFlight  int
+	nextHoldAt     time.Duration // Earliest time of the next hold.
+	endsInFlight   bool          // A command with ends of this worker is proposed and not applied yet.
+	lossInFlight   bool          // That command declares all its attempts lost: none may be started, and no lease renewed.
+	ackedCursor    int64         // Highest cursor that the worker has received.
+	holdNow        bool          // A hold that is answered at once is to be sent.
+	probing        bool          // A hold shows whether the worker can be reached; work waits for its answer.
+	probedAt       time.Duration // When that was asked for.
+	doneAt         time.Duration // When an attempt on it last ended as done.
+	failedInARow   int           // Consecutive failures that count against the worker.
+	rejectedInARow int           // Starts rejected since the last confirmed one.
+	avoidUntil     time.Duration // Until then, the worker gets no new attempts.
+	listClockMS    int64         // The worker's clock at its newest lists.
 	// unknown counts the attempts in its newest lists that the domain does not place there. While there are any, the
 	// worker gets no starts.
 	unknown int
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -42,6 +42,7 @@
 	lateStart       time.Duration                                     // If not 0, the first start is carried out this much late, unanswered.
 	lateAck         time.Duration                                     // If not 0, the next hold with a cursor is carried out this much late, unanswered.
 	answerDelay     func(dispatch.Call, dispatch.Reply) time.Duration // How much an answer is late.
+	refuse          func(dispatch.Call) dispatch.Status               // If it is not OK, the worker answers so and does nothing.
 	changeAnswer    func(dispatch.Call, *dispatch.Reply)              // Changes what a worker answers.
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
@@ -74,6 +75,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), stateMachine: domain.New(), gangs: simworker.NewGangs(), cutOff: map[string]bool{},
 		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commitDelay: usualCommitDelay, delayedCalls: map[string][]func(){}, onLoss: func() {},
 		log: func(string, ...any) {}, answerDelay: func(dispatch.Call, dispatch.Reply) time.Duration { return 0 },
+		refuse:       func(dispatch.Call) dispatch.Status { return dispatch.OK },
 		changeAnswer: func(dispatch.Call, *dispatch.Reply) {},
 	}
 	w.gangs.OnEvent = w.observe
@@ -328,6 +330,12 @@
 		return
 	}
 	s.Advance(w.now)
+	if status := w.refuse(c); status != dispatch.OK {
+		r := dispatch.Reply{Status: status, ClockMS: s.Clock(w.now)}
+		w.changeAnswer(c, &r)
+		w.at(w.now+networkDelay, func() { w.reply(leader, c, r) })
+		return
+	}
 	if c.Kind == dispatch.CallHold && w.now < deadline && !s.HasEndedAfter(c.Cursor) {
 		first := c
 		first.Wait = 0
