dispatch, platform: the rows of one worker do not become as many calls

What callers saw: a worker that lists 20,000 attempts that the domain does not know got 20,000 stops within 100 ms, and again after each list. The host keeps each call in memory until its deadline, and writes a line to its log for each.

Cause: each unknown row led to a call, whether or not earlier ones were still in flight.

Change: at most 32 stops of unknown attempts are in flight to one worker; the others follow after the next lists. The worker gets no starts before all are gone, as before.

--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -200,3 +200,27 @@
 	Entry("as not understood", dispatch.BadCall, func(c int64) int64 { return c }),
 	Entry("as ended", dispatch.RejectedEnded, func(c int64) int64 { return c }),
 )
+
+var _ = Describe("a worker that lists very many attempts as running", func() {
+	// Guards against a host that makes, and keeps in memory, one call for each row.
+	It("gets few calls, and none of its rows keeps a job from completing", func() {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		w.changeHolds(func(_ dispatch.Call, r *dispatch.Reply) {
+			r.Running = slices.Clone(r.Running)
+			for i := range 20000 {
+				r.Running = append(r.Running, dispatch.RunningTask{Task: domain.TaskID{Job: "none", Index: i}, Attempt: 1})
+			}
+		})
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(24, 1)}})
+		w.run(3200 * time.Millisecond)
+		for range 20 {
+			before := len(w.calls)
+			w.run(w.now + 100*time.Millisecond)
+			Expect(len(w.calls) - before).To(BeNumerically("<", 2000))
+		}
+		w.run(20 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	})
+})
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -131,6 +131,9 @@
 	if p.call.Kind == CallHold {
 		s.holdsInFlight--
 	}
+	if p.unknown {
+		s.unknownStops--
+	}
 	a := l.attempts[p.call.Task]
 	switch {
 	case p.call.Kind == CallHold || a == nil || a.number != p.call.Attempt || a.incarnation != s.incarnation:
@@ -325,8 +328,7 @@
 		listed[t.Task] = t.Attempt
 		if !l.sawRunning(now, s, t) && !overtaken {
 			unknown++
-			l.noteUnknown(s, t)
-			l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
+			l.stopUnknown(now, w, s, t)
 		}
 	}
 	if !overtaken {
@@ -366,6 +368,22 @@
 	return true
 }
 
+// maxUnknownStops is how many stops of unknown attempts may be in flight to one worker. The others follow after its next lists.
+const maxUnknownStops = 32
+
+// stopUnknown stops an attempt that a worker lists as running although the domain does not place it there.
+func (l *Leader) stopUnknown(now Time, w *domain.Worker, s *session, t RunningTask) {
+	if s.unknownStops >= maxUnknownStops {
+		return
+	}
+	s.unknownStops++
+	l.noteUnknown(s, t)
+	l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
+	p := l.callsInFlight[l.lastCallID]
+	p.unknown = true
+	l.callsInFlight[l.lastCallID] = p
+}
+
 // noteUnknown logs and counts an attempt that a worker lists as running although the domain does not place it there.
 func (l *Leader) noteUnknown(s *session, t RunningTask) {
 	var current domain.Task
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -97,6 +97,7 @@
 	call    Call
 	sentAt  time.Duration
 	contact bool // A hold to a worker that has not answered this leader yet.
+	unknown bool // A stop of an attempt that the domain does not place there.
 }
 
 // New begins a leadership over the applied state.
@@ -477,6 +478,6 @@
 	if contact {
 		l.contactsInFlight++
 	}
-	l.callsInFlight[c.ID] = pendingCall{c, now.Mono, contact}
+	l.callsInFlight[c.ID] = pendingCall{call: c, sentAt: now.Mono, contact: contact}
 	l.out.Calls = append(l.out.Calls, c)
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -41,7 +41,8 @@
 	listClockMS    int64         // The worker's clock at its newest lists.
 	// unknown counts the attempts in its newest lists that the domain does not place there. While there are any, the
 	// worker gets no starts.
-	unknown int
+	unknown      int
+	unknownStops int // Stops of such attempts in flight.
 	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
 	earlierLeaseEnd time.Duration
 	// unfenced is set until the worker has answered its first hold, which makes it reject the starts of earlier leaders.
