dispatch: a worker that is taken for replaced loses its attempts when its lease is over

What callers saw: after one answer with another "born", followed by one with the right one (an older answer on another connection, a confirmed stop, or a worker that changes it), the tasks on the worker never ran again, unless a worker registered in its place or the leader changed. The worker itself got no more tasks.

Cause: a worker that is taken for replaced gets no holds, since the one in its place is to register. The answer that came after set its failures to 0, so it was not silent, and its leases were never looked at.

When its attempts are lost, it is forgotten, so that the one that answers there registers.

--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -224,3 +224,27 @@
 		Expect(w.violations).To(BeEmpty())
 	})
 })
+
+// Guards against tasks that hang on a worker that is taken for replaced, when nothing registers in its place.
+var _ = Describe("one answer of another life", func() {
+	It("does not keep the tasks of a worker for ever", func() {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=3000", Steps: []domain.Step{step(24, 1)}})
+		w.run(4 * time.Second)
+		changed := false
+		w.changeHolds(func(c dispatch.Call, r *dispatch.Reply) {
+			if !changed {
+				changed, r.BornMS = true, c.Worker.BornMS+1
+			}
+		})
+		w.run(60 * time.Second)
+		Expect(changed).To(BeTrue())
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		w.calls = nil
+		w.submit(domain.JobSpec{ID: "k", Payload: "work=1000", Steps: []domain.Step{step(24, 1)}})
+		w.run(w.now + 3*time.Second)
+		Expect(w.calls).To(ContainElement(And(HaveField("Worker.ID", badWorker), HaveField("Kind", dispatch.CallStart))), "it registers again")
+		Expect(w.violations).To(BeEmpty())
+	})
+})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -99,7 +99,7 @@
 // silent tells whether the worker has stopped answering. Its lease is then not extended, so that it ends and the tasks
 // can start elsewhere.
 func (s *session) silent(now time.Duration) bool {
-	return (s.failures > 0 || s.fenced) && now-max(s.answeredAt, s.createdAt) > silentAfter
+	return (s.failures > 0 || s.fenced || s.replaced) && now-max(s.answeredAt, s.createdAt) > silentAfter
 }
 
 // ending tells whether the incarnation has ended, is about to end or takes no calls of this leader.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -259,12 +259,12 @@
 // purgeEvery is the period at which ended jobs older than the retention are dropped.
 const purgeEvery = 15 * time.Second
 
-// housekeeping proposes to forget silent workers without attempts and to drop old ended jobs.
+// housekeeping proposes to forget silent and replaced workers without attempts and to drop old ended jobs.
 func (l *Leader) housekeeping(now Time) {
 	for id, s := range l.sessions {
 		w := l.state.Worker(id)
 		quiet := now.Mono-max(s.answeredAt, s.reportedAt) > forgetAfter
-		if w != nil && w.Incarnation == s.incarnation && quiet && len(w.Attempts()) == 0 {
+		if w != nil && w.Incarnation == s.incarnation && (quiet || s.replaced) && len(w.Attempts()) == 0 {
 			l.forget(now, s)
 		}
 	}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -23,6 +23,9 @@
 	wallStart        = 1_700_000_000_000
 )
 
+// labelNotFirst is a label of all workers but the first.
+const labelNotFirst = "not-first"
+
 // world simulates a domain with one leader at a time, workers, and a network that fails. At every event of a worker it
 // checks the invariants: no task runs twice at once or again after it is done, and no worker exceeds its capacity.
 type world struct {
@@ -112,6 +115,9 @@
 			Incarnation: s.Incarnation, Pool: "pool", Address: fmt.Sprintf("10.0.0.%d:8080", i), Zone: fmt.Sprintf("z%d", i%3),
 			Rack: fmt.Sprintf("r%d", i/8), Labels: []string{"a", fmt.Sprintf("r%d", i/8)}, Capacity: s.Capacity, Machine: fmt.Sprintf("m%d", i),
 		}
+		if i > 0 {
+			reg.Labels = append(reg.Labels, labelNotFirst)
+		}
 		if !w.stateMachine.Registered(reg) {
 			w.commit(&domain.Command{Register: reg})
 		}
@@ -201,6 +207,9 @@
 	took := time.Since(began)
 	w.tickTime, w.longestTick = w.tickTime+took, max(w.longestTick, took)
 	for _, c := range out.Commands {
+		if err := domain.CheckCommand(c.Encode()); err != nil {
+			w.violation("command that cannot be stored: %v", err)
+		}
 		w.commit(c)
 	}
 	for _, c := range out.Calls {
