--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -162,3 +162,89 @@
 		Expect(w.calls).NotTo(ContainElement(HaveField("Worker.ID", badWorker)), "it is not called again with the same token")
 	})
 })
+
+// Guards against tasks that are bound to a worker that never begins them, and against calls without a pause.
+var _ = DescribeTable("a worker that rejects each start", func(status dispatch.Status, clockMS func(int64) int64) {
+	w := newWorld(1, 3)
+	w.run(3 * time.Second)
+	isStart := func(c dispatch.Call) bool { return c.Worker.ID == badWorker && c.Kind == dispatch.CallStart }
+	w.refuse = func(c dispatch.Call) dispatch.Status {
+		if isStart(c) {
+			return status
+		}
+		return dispatch.OK
+	}
+	w.changeAnswer = func(c dispatch.Call, r *dispatch.Reply) {
+		if isStart(c) {
+			r.ClockMS = clockMS(r.ClockMS)
+		}
+	}
+	w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(24, 1)}})
+	w.run(20 * time.Second)
+	Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	starts := 0
+	for _, c := range w.calls {
+		if c.Worker.ID == badWorker && c.Kind == dispatch.CallStart {
+			starts++
+		}
+	}
+	Expect(starts).To(And(BeNumerically(">", 0), BeNumerically("<=", 100)))
+	Expect(w.violations).To(BeEmpty())
+},
+	Entry("as late", dispatch.RejectedLeaseOver, func(c int64) int64 { return c }),
+	Entry("as late, by a clock that goes back", dispatch.RejectedLeaseOver, func(int64) int64 { return 1 }),
+	Entry("as late, by a clock that is ahead", dispatch.RejectedLeaseOver, func(c int64) int64 { return c + 1e9 }),
+	Entry("as late, without a clock", dispatch.RejectedLeaseOver, func(int64) int64 { return 0 }),
+	Entry("for want of room", dispatch.RejectedCapacity, func(c int64) int64 { return c }),
+	Entry("for want of a ticket", dispatch.RejectedTicket, func(c int64) int64 { return c }),
+	Entry("as not understood", dispatch.BadCall, func(c int64) int64 { return c }),
+	Entry("as ended", dispatch.RejectedEnded, func(c int64) int64 { return c }),
+)
+
+var _ = Describe("a worker that lists very many attempts as running", func() {
+	// Guards against a host that makes, and keeps in memory, one call for each row.
+	It("gets few calls, and none of its rows keeps a job from completing", func() {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		w.changeHolds(func(_ dispatch.Call, r *dispatch.Reply) {
+			r.Running = slices.Clone(r.Running)
+			for i := range 20000 {
+				r.Running = append(r.Running, dispatch.RunningTask{Task: domain.TaskID{Job: "none", Index: i}, Attempt: 1})
+			}
+		})
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(24, 1)}})
+		w.run(3200 * time.Millisecond)
+		for range 20 {
+			before := len(w.calls)
+			w.run(w.now + 100*time.Millisecond)
+			Expect(len(w.calls) - before).To(BeNumerically("<", 2000))
+		}
+		w.run(20 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		Expect(w.violations).To(BeEmpty())
+	})
+})
+
+// Guards against tasks that hang on a worker that is taken for replaced, when nothing registers in its place.
+var _ = Describe("one answer of another life", func() {
+	It("does not keep the tasks of a worker for ever", func() {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=3000", Steps: []domain.Step{step(24, 1)}})
+		w.run(4 * time.Second)
+		changed := false
+		w.changeHolds(func(c dispatch.Call, r *dispatch.Reply) {
+			if !changed {
+				changed, r.BornMS = true, c.Worker.BornMS+1
+			}
+		})
+		w.run(60 * time.Second)
+		Expect(changed).To(BeTrue())
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		w.calls = nil
+		w.submit(domain.JobSpec{ID: "k", Payload: "work=1000", Steps: []domain.Step{step(24, 1)}})
+		w.run(w.now + 3*time.Second)
+		Expect(w.calls).To(ContainElement(And(HaveField("Worker.ID", badWorker), HaveField("Kind", dispatch.CallStart))), "it registers again")
+		Expect(w.violations).To(BeEmpty())
+	})
+})
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -131,6 +131,9 @@
 	if p.call.Kind == CallHold {
 		s.holdsInFlight--
 	}
+	if p.unknown {
+		s.unknownStops--
+	}
 	a := l.attempts[p.call.Task]
 	switch {
 	case p.call.Kind == CallHold || a == nil || a.number != p.call.Attempt || a.incarnation != s.incarnation:
@@ -254,6 +257,11 @@
 		a.nextTryAt = now.Mono + min(retryMax, retryFirst<<min(a.tries, 4))
 		return
 	}
+	if r.Status == OK {
+		s.rejectedInARow = 0
+	} else if s.rejectedInARow++; s.rejectedInARow > maxRejectedInARow || r.Status == BadCall {
+		s.avoid(now.Mono)
+	}
 	switch r.Status {
 	case OK:
 		s.holdNow = s.holdNow || !l.hasConfirmedAttempt(l.state.Worker(s.incarnation.ID))
@@ -264,7 +272,9 @@
 		l.requestStop(a, "the worker lists it as ended or stopped")
 		a.stopConfirmed, a.confirmedAt, s.holdNow = true, now.Mono, true
 	case RejectedLeaseOver:
-		a.nextTryAt = now.Mono
+		if a.nextTryAt = now.Mono; a.tries >= maxLateTries { // Its clock does not agree with what it reports.
+			l.abandon(a, r.Status.String())
+		}
 	default:
 		l.options.Observer.StartRejected(r.Status)
 		l.options.Log("start_rejected", "job", a.task.Job, "task", a.task.String(), "attempt", a.number, "worker", s.incarnation.ID,
@@ -279,6 +289,15 @@
 	}
 }
 
+// Limits for workers that reject starts.
+const (
+	// maxRejectedInARow is how many starts a worker may reject, without one that it confirms, before it is avoided for a while.
+	// Some may be rejected since the capacity of what has ended there is not free yet.
+	maxRejectedInARow = 4
+	// maxLateTries is how often an attempt is started whose lease the worker takes for over. Each rejection contains the clock.
+	maxLateTries = 3
+)
+
 // abandon stops an attempt. The stop also keeps a worker that has not started it from carrying out a start that arrives
 // late. The members of a gang are stopped together.
 func (l *Leader) abandon(a *attemptState, reason string) {
@@ -309,8 +328,7 @@
 		listed[t.Task] = t.Attempt
 		if !l.sawRunning(now, s, t) && !overtaken {
 			unknown++
-			l.noteUnknown(s, t)
-			l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
+			l.stopUnknown(now, w, s, t)
 		}
 	}
 	if !overtaken {
@@ -350,6 +368,22 @@
 	return true
 }
 
+// maxUnknownStops is how many stops of unknown attempts may be in flight to one worker. The others follow after its next lists.
+const maxUnknownStops = 32
+
+// stopUnknown stops an attempt that a worker lists as running although the domain does not place it there.
+func (l *Leader) stopUnknown(now Time, w *domain.Worker, s *session, t RunningTask) {
+	if s.unknownStops >= maxUnknownStops {
+		return
+	}
+	s.unknownStops++
+	l.noteUnknown(s, t)
+	l.sendCall(now, w, Call{Kind: CallStop, Task: t.Task, Attempt: t.Attempt})
+	p := l.callsInFlight[l.lastCallID]
+	p.unknown = true
+	l.callsInFlight[l.lastCallID] = p
+}
+
 // noteUnknown logs and counts an attempt that a worker lists as running although the domain does not place it there.
 func (l *Leader) noteUnknown(s *session, t RunningTask) {
 	var current domain.Task
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -22,25 +22,27 @@
 	hasClock     bool
 	leaseUntilMS int64 // Latest end of a lease that this leader has sent.
 	// answeredAt is when the worker last answered a call, reportedAt when its last report arrived.
-	answeredAt    time.Duration
-	reportedAt    time.Duration
-	everAnswered  bool
-	failures      int // Calls without an answer, or holds refused, since the last answer.
-	holdsInFlight int
-	nextHoldAt    time.Duration // Earliest time of the next hold.
-	endsInFlight  bool          // A command with ends of this worker is proposed and not applied yet.
-	lossInFlight  bool          // That command declares all its attempts lost: none may be started, and no lease renewed.
-	ackedCursor   int64         // Highest cursor that the worker has received.
-	holdNow       bool          // A hold that is answered at once is to be sent.
-	probing       bool          // A hold shows whether the worker can be reached; work waits for its answer.
-	probedAt      time.Duration // When that was asked for.
-	doneAt        time.Duration // When an attempt on it last ended as done.
-	failedInARow  int           // Consecutive failures that count against the worker.
-	avoidUntil    time.Duration // Until then, the worker gets no new attempts.
-	listClockMS   int64         // The worker's clock at its newest lists.
+	answeredAt     time.Duration
+	reportedAt     time.Duration
+	everAnswered   bool
+	failures       int // Calls without an answer, or holds refused, since the last answer.
+	holdsInFlight  int
+	nextHoldAt     time.Duration // Earliest time of the next hold.
+	endsInFlight   bool          // A command with ends of this worker is proposed and not applied yet.
+	lossInFlight   bool          // That command declares all its attempts lost: none may be started, and no lease renewed.
+	ackedCursor    int64         // Highest cursor that the worker has received.
+	holdNow        bool          // A hold that is answered at once is to be sent.
+	probing        bool          // A hold shows whether the worker can be reached; work waits for its answer.
+	probedAt       time.Duration // When that was asked for.
+	doneAt         time.Duration // When an attempt on it last ended as done.
+	failedInARow   int           // Consecutive failures that count against the worker.
+	rejectedInARow int           // Starts rejected since the last confirmed one.
+	avoidUntil     time.Duration // Until then, the worker gets no new attempts.
+	listClockMS    int64         // The worker's clock at its newest lists.
 	// unknown counts the attempts in its newest lists that the domain does not place there. While there are any, the
 	// worker gets no starts.
-	unknown int
+	unknown      int
+	unknownStops int // Stops of such attempts in flight.
 	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
 	earlierLeaseEnd time.Duration
 	// unfenced is set until the worker has answered its first hold, which makes it reject the starts of earlier leaders.
@@ -97,7 +99,7 @@
 // silent tells whether the worker has stopped answering. Its lease is then not extended, so that it ends and the tasks
 // can start elsewhere.
 func (s *session) silent(now time.Duration) bool {
-	return (s.failures > 0 || s.fenced) && now-max(s.answeredAt, s.createdAt) > silentAfter
+	return (s.failures > 0 || s.fenced || s.replaced) && now-max(s.answeredAt, s.createdAt) > silentAfter
 }
 
 // ending tells whether the incarnation has ended, is about to end or takes no calls of this leader.
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -23,6 +23,9 @@
 	wallStart        = 1_700_000_000_000
 )
 
+// labelNotFirst is a label of all workers but the first.
+const labelNotFirst = "not-first"
+
 // world simulates a domain with one leader at a time, workers, and a network that fails. At every event of a worker it
 // checks the invariants: no task runs twice at once or again after it is done, and no worker exceeds its capacity.
 type world struct {
@@ -42,6 +45,7 @@
 	lateStart       time.Duration                                     // If not 0, the first start is carried out this much late, unanswered.
 	lateAck         time.Duration                                     // If not 0, the next hold with a cursor is carried out this much late, unanswered.
 	answerDelay     func(dispatch.Call, dispatch.Reply) time.Duration // How much an answer is late.
+	refuse          func(dispatch.Call) dispatch.Status               // If it is not OK, the worker answers so and does nothing.
 	changeAnswer    func(dispatch.Call, *dispatch.Reply)              // Changes what a worker answers.
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
@@ -74,6 +78,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), stateMachine: domain.New(), gangs: simworker.NewGangs(), cutOff: map[string]bool{},
 		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commitDelay: usualCommitDelay, delayedCalls: map[string][]func(){}, onLoss: func() {},
 		log: func(string, ...any) {}, answerDelay: func(dispatch.Call, dispatch.Reply) time.Duration { return 0 },
+		refuse:       func(dispatch.Call) dispatch.Status { return dispatch.OK },
 		changeAnswer: func(dispatch.Call, *dispatch.Reply) {},
 	}
 	w.gangs.OnEvent = w.observe
@@ -110,6 +115,9 @@
 			Incarnation: s.Incarnation, Pool: "pool", Address: fmt.Sprintf("10.0.0.%d:8080", i), Zone: fmt.Sprintf("z%d", i%3),
 			Rack: fmt.Sprintf("r%d", i/8), Labels: []string{"a", fmt.Sprintf("r%d", i/8)}, Capacity: s.Capacity, Machine: fmt.Sprintf("m%d", i),
 		}
+		if i > 0 {
+			reg.Labels = append(reg.Labels, labelNotFirst)
+		}
 		if !w.stateMachine.Registered(reg) {
 			w.commit(&domain.Command{Register: reg})
 		}
@@ -199,6 +207,9 @@
 	took := time.Since(began)
 	w.tickTime, w.longestTick = w.tickTime+took, max(w.longestTick, took)
 	for _, c := range out.Commands {
+		if err := domain.CheckCommand(c.Encode()); err != nil {
+			w.violation("command that cannot be stored: %v", err)
+		}
 		w.commit(c)
 	}
 	for _, c := range out.Calls {
@@ -328,6 +339,12 @@
 		return
 	}
 	s.Advance(w.now)
+	if status := w.refuse(c); status != dispatch.OK {
+		r := dispatch.Reply{Status: status, ClockMS: s.Clock(w.now)}
+		w.changeAnswer(c, &r)
+		w.at(w.now+networkDelay, func() { w.reply(leader, c, r) })
+		return
+	}
 	if c.Kind == dispatch.CallHold && w.now < deadline && !s.HasEndedAfter(c.Cursor) {
 		first := c
 		first.Wait = 0
