--- a/internal/descriptors/listener.go
+++ b/internal/descriptors/listener.go
@@ -6,38 +6,59 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
+// partialPatience is for how long a request may be incomplete before its connection yields to a new one. Requests arrive
+// within milliseconds, and callers wait a second for an answer.
+const partialPatience = 500 * time.Millisecond
+
 // Listener limits how many accepted connections are open at the same time. Beyond the limit it closes the connection
-// that has been idle for longest, or, if none is idle, waits until one is closed. Its Track must be the ConnState of
-// the http.Server that serves it.
+// that has been idle for longest, or else the one whose request has been incomplete for longest, for at least
+// partialPatience. If there is none, it waits until one is closed. Its Track and ConnContext must be those of the
+// http.Server that serves it, and its Handler must wrap the handler.
 type Listener struct {
 	net.Listener
 	limit  int
 	freed  chan struct{}
 	closed chan struct{}
 	once   sync.Once
-	// evicted counts the idle connections that were closed to make room.
+	// evicted counts the connections that were closed to make room.
 	evicted atomic.Int64
 
-	mu   sync.Mutex
-	open int
-	idle *list.List // Of *conn, idle for longest first.
+	mu      sync.Mutex
+	open    int
+	idle    *list.List // Of *conn, idle for longest first.
+	partial *list.List // Of *conn without a whole request, the one that has waited for longest first.
 }
 
 // Limit returns a listener that keeps at most limit accepted connections open, besides one that waits for its place.
 func Limit(l net.Listener, limit int) *Listener {
-	return &Listener{Listener: l, limit: limit, freed: make(chan struct{}, 1), closed: make(chan struct{}), idle: list.New()}
+	return &Listener{
+		Listener: l, limit: limit, freed: make(chan struct{}, 1), closed: make(chan struct{}), idle: list.New(), partial: list.New(),
+	}
 }
 
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
 	listener *Listener
-	inIdle   *list.Element // Its place in Listener.idle, nil if it is in use.
+	list     *list.List    // Listener.idle or Listener.partial, nil while a whole request is handled.
+	place    *list.Element // Its place in list.
+	since    time.Time     // When it was put there.
 	release  sync.Once
 }
 
+// put moves the connection to the end of a list, or to none. The caller holds the lock of the listener.
+func (c *conn) put(to *list.List) {
+	if c.list != nil {
+		c.list.Remove(c.place)
+	}
+	if c.list = to; to != nil {
+		c.place, c.since = to.PushBack(c), time.Now()
+	}
+}
+
 // Accept waits for a connection and for room for it.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
@@ -45,32 +66,44 @@
 		return nil, err
 	}
 	c := &conn{Conn: accepted, listener: l}
-	for !l.take() {
+	for {
+		ripe, ok := l.take()
+		if ok {
+			return c, nil
+		}
 		select {
 		case <-l.freed:
+		case <-ripe:
 		case <-l.closed:
 			_ = accepted.Close() // The listener is closed; the caller of this connection tries another host.
 			return nil, net.ErrClosed
 		}
 	}
-	return c, nil
 }
 
-// take counts one more open connection if there is room, and otherwise closes an idle one.
-func (l *Listener) take() bool {
+// take counts one more open connection if there is room, after it has closed one that yields. If there is no room, it
+// returns a channel that receives when the next one yields, nil if none will.
+func (l *Listener) take() (<-chan time.Time, bool) {
 	l.mu.Lock()
 	if l.open < l.limit {
 		l.open++
 		l.mu.Unlock()
-		return true
+		return nil, true
 	}
 	oldest := l.idle.Front()
 	if oldest == nil {
+		oldest = l.partial.Front()
+	}
+	if oldest == nil {
+		l.mu.Unlock()
+		return nil, false
+	}
+	c := oldest.Value.(*conn)
+	if left := partialPatience - time.Since(c.since); c.list == l.partial && left > 0 {
 		l.mu.Unlock()
-		return false
+		return time.After(left), false
 	}
-	c := l.idle.Remove(oldest).(*conn)
-	c.inIdle = nil
+	c.put(nil)
 	l.mu.Unlock()
 	l.evicted.Add(1)
 	_ = c.Close() // Its server sees the closed connection and ends it.
@@ -93,7 +126,7 @@
 	return l.open
 }
 
-// Track notes which connections are idle.
+// Track notes which connections are idle, and which have no whole request.
 func (l *Listener) Track(c net.Conn, state http.ConnState) {
 	own, ok := c.(*conn)
 	if !ok {
@@ -101,13 +134,16 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if own.inIdle != nil {
-		l.idle.Remove(own.inIdle)
-		own.inIdle = nil
-	}
-	if state == http.StateIdle {
-		own.inIdle = l.idle.PushBack(own)
+	switch state {
+	case http.StateIdle:
+		own.put(l.idle)
 		l.wake()
+	case http.StateNew, http.StateActive:
+		if own.list != l.partial { // A request counts from the start of a new connection.
+			own.put(l.partial)
+		}
+	default:
+		own.put(nil)
 	}
 }
 
@@ -126,10 +162,7 @@
 		l := c.listener
 		l.mu.Lock()
 		l.open--
-		if c.inIdle != nil {
-			l.idle.Remove(c.inIdle)
-			c.inIdle = nil
-		}
+		c.put(nil)
 		l.mu.Unlock()
 		l.wake()
 	})
