corehost, domain: registrations take a bounded part of memory and disk

What callers saw: each report with a well-formed identifier was stored, whatever its size. 100 reports with a label of 4 MiB took 560 to 639 MB of memory and 211 MB of disk on each core host (limits 280 and 128), 75 of them got 503 or 504, and half of the calls of others at the control, front and ready ports failed for 10 s. An entry whose service a configuration has dropped stayed for good if somebody reported it. A report of an unregistered worker of an unknown service that drains was acknowledged and forgotten.

Cause: nothing bounded the sum of the registrations, also not of those being committed. A report counted as a sign of life of an entry that is not called and so cannot answer.

Change: registrations take 4 MB together, about ten times what 1,100 workers need; what would add more gets 503 (registrations_full). Registered workers can still change and drain. Foreign entries are forgotten 30 s after their last answer. A drain that is not remembered is not acknowledged.

--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -97,9 +97,12 @@
 	lastVoterCheck   time.Duration
 	knownHosts       []string // Addresses of the core hosts that are known here.
 	stopping         bool
-	received         *receivedState    // Of a snapshot in the messages that are handled just now, else nil.
-	failed           error             // An output of the replica was not executed in full; the host must exit.
-	zones            map[string]string // Zones by host; the founding configuration does not name them.
+	registering      int // Bytes of registrations that are being committed.
+	// registrationsFull tells whether the last change of a registration found no room, see maxRegistrations.
+	registrationsFull bool
+	received          *receivedState    // Of a snapshot in the messages that are handled just now, else nil.
+	failed            error             // An output of the replica was not executed in full; the host must exit.
+	zones             map[string]string // Zones by host; the founding configuration does not name them.
 
 	wakeup chan struct{}
 	disk   *diskQueue
--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -108,6 +108,32 @@
 	return service.Result{Outcome: service.Done, Document: outcomes}
 }
 
+// maxRegistrations is how many bytes the registrations of all workers may take together: ten times what 1,100 workers take,
+// and a small share of the smallest memory (280 MB).
+const maxRegistrations = 4 << 20
+
+// storeRegistration commits a report that changes a registration, unless there is no room for what it adds. The caller holds
+// h.mu.
+func (h *Host) storeRegistration(ctx context.Context, now dispatch.Time, old, w *domain.Worker) service.Result {
+	growth := w.RegistrationBytes()
+	if old != nil {
+		growth -= old.RegistrationBytes()
+	}
+	bytes := h.stateMachine.RegistrationBytes() + h.registering
+	full := growth > 0 && bytes+growth > maxRegistrations
+	if full != h.registrationsFull {
+		h.registrationsFull = full
+		h.log.Info("registrations_full", "full", full, "workers", len(h.stateMachine.Workers()), "bytes", bytes)
+	}
+	if full {
+		return service.Result{Outcome: service.NotServing}
+	}
+	h.registering += growth
+	r := h.commitOperation(ctx, now, &domain.Command{Register: w})
+	h.registering -= growth
+	return r
+}
+
 // noteReport tells the leader of a report of a registered worker. The caller holds h.mu.
 func (h *Host) noteReport(now dispatch.Time, reported *domain.Worker, clockMS int64) {
 	w := h.stateMachine.Worker(reported.Incarnation.ID)
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -249,13 +249,16 @@
 	r := service.Result{Outcome: service.Done}
 	old := h.stateMachine.Worker(op.Worker.Incarnation.ID)
 	if h.namesNoWorker(op.Worker, old) {
+		if op.Worker.Draining && old == nil {
+			r.Outcome = service.NotServing // An acknowledgement would have to be remembered, for when its service is added.
+		}
 		return r
 	}
 	if old != nil && old.Incarnation == op.Worker.Incarnation && old.Draining {
 		op.Worker.Draining = true
 	}
 	if !h.stateMachine.Registered(op.Worker) {
-		r = h.commitOperation(ctx, now, &domain.Command{Register: op.Worker})
+		r = h.storeRegistration(ctx, now, old, op.Worker)
 	}
 	h.noteReport(now, op.Worker, op.ClockMS)
 	return r
--- a/internal/dispatch/foreign_test.go
+++ b/internal/dispatch/foreign_test.go
@@ -46,6 +46,16 @@
 		Entry("after a change of the leader", true),
 	)
 
+	// Guards against entries of a pool that a configuration has dropped, which would stay as long as somebody reports them.
+	It("are forgotten although they are reported again and again", func() {
+		w := newWorld(1, 2)
+		w.addForeign()
+		w.run(10 * time.Second)
+		Expect(w.stateMachine.Workers()).To(HaveLen(11))
+		w.run(35 * time.Second)
+		Expect(w.stateMachine.Workers()).To(HaveLen(2))
+	})
+
 	It("are called once the configuration names their pool", func() {
 		w := newWorld(1, 1)
 		w.addForeign()
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -274,7 +274,7 @@
 }
 
 // forgetAfter is for how long a worker without attempts may neither answer nor report before it is forgotten. If it
-// comes back, it registers anew.
+// comes back, it registers anew. A report of a foreign entry counts for nothing: it is not called, so it cannot answer.
 const forgetAfter = 30 * time.Second
 
 // purgeEvery is the period at which ended jobs older than the retention are dropped.
@@ -284,8 +284,14 @@
 func (l *Leader) housekeeping(now Time) {
 	for id, s := range l.sessions {
 		w := l.state.Worker(id)
-		quiet := now.Mono-max(s.answeredAt, s.reportedAt) > forgetAfter
-		if w != nil && w.Incarnation == s.incarnation && quiet && len(w.Attempts()) == 0 {
+		if w == nil || w.Incarnation != s.incarnation || len(w.Attempts()) > 0 {
+			continue
+		}
+		heard := max(s.answeredAt, s.reportedAt)
+		if l.foreign(w) {
+			heard = s.answeredAt
+		}
+		if now.Mono-heard > forgetAfter {
 			l.forget(now, s)
 		}
 	}
--- a/internal/domain/apply_worker.go
+++ b/internal/domain/apply_worker.go
@@ -15,6 +15,7 @@
 		if sameRegistration(old, w) {
 			return NotChanged
 		}
+		m.registrationBytes += w.RegistrationBytes() - old.RegistrationBytes()
 		old.Pool, old.Address, old.Zone, old.Rack = w.Pool, w.Address, w.Zone, w.Rack
 		old.Labels, old.Capacity, old.Machine = w.Labels, w.Capacity, w.Machine
 		old.Draining = old.Draining || w.Draining // An incarnation that drains never stops draining.
@@ -28,8 +29,10 @@
 	added.attempts = map[TaskID]int{}
 	if old != nil {
 		m.move(old, &added)
+		m.registrationBytes -= old.RegistrationBytes()
 	}
 	m.state.Workers[w.Incarnation.ID] = &added
+	m.registrationBytes += added.RegistrationBytes()
 	return Applied
 }
 
@@ -60,12 +63,26 @@
 	// All replicas remove them in the same order.
 	slices.SortFunc(replaced, func(a, b WorkerIncarnation) int { return strings.Compare(a.ID, b.ID) })
 	for _, incarnation := range replaced {
-		m.clear(incarnation)
-		delete(m.state.Workers, incarnation.ID)
+		m.remove(incarnation)
 	}
 	return true
 }
 
+// registrationOverhead is about what a registration takes beside its texts, in bytes.
+const registrationOverhead = 256
+
+// RegistrationBytes returns about how many bytes the registration of a worker takes.
+func (w *Worker) RegistrationBytes() int {
+	n := registrationOverhead + len(w.Incarnation.ID) + len(w.Pool) + len(w.Address) + len(w.Zone) + len(w.Rack) + len(w.Machine)
+	for _, l := range w.Labels {
+		n += 16 + len(l) // With the header of the text.
+	}
+	return n
+}
+
+// RegistrationBytes returns about how many bytes the registrations of all workers take.
+func (m *StateMachine) RegistrationBytes() int { return m.registrationBytes }
+
 // sameRegistration reports whether two reports of a worker agree in all values that are stored.
 func sameRegistration(a, b *Worker) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.Zone == b.Zone && a.Rack == b.Rack && a.Machine == b.Machine &&
@@ -83,17 +100,18 @@
 	if w == nil || w.Incarnation != incarnation {
 		return NotFound
 	}
-	m.clear(incarnation)
-	delete(m.state.Workers, incarnation.ID)
+	m.remove(incarnation)
 	return Applied
 }
 
-// clear removes all attempts from an incarnation of a worker that has ended. Their tasks wait for a new attempt.
-func (m *StateMachine) clear(incarnation WorkerIncarnation) {
+// remove removes a worker whose incarnation has ended. The tasks of its attempts wait for a new one.
+func (m *StateMachine) remove(incarnation WorkerIncarnation) {
 	w := m.state.Workers[incarnation.ID]
 	for id := range w.attempts {
 		j := m.state.Jobs[id.Job]
 		m.removeFromWorker(id, j, j.Task(id))
 		m.dropIfNoAttempts(j)
 	}
+	m.registrationBytes -= w.RegistrationBytes()
+	delete(m.state.Workers, incarnation.ID)
 }
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -26,6 +26,7 @@
 	open  map[JobID]*Job // Derived from the state: jobs that have not ended.
 	// endedWithAttempts is derived from the state: ended jobs of which attempts may still be present on workers.
 	endedWithAttempts map[JobID]*Job
+	registrationBytes int // Derived from the state, see RegistrationBytes.
 }
 
 // state is the content of a snapshot.
@@ -89,8 +90,10 @@
 	m.open = map[JobID]*Job{}
 	m.endedWithAttempts = map[JobID]*Job{}
 	m.indexConfig()
+	m.registrationBytes = 0
 	for _, w := range s.Workers {
 		w.attempts = map[TaskID]int{}
+		m.registrationBytes += w.RegistrationBytes()
 	}
 	for id, j := range s.Jobs {
 		if !j.State.Final() {
