entryhost: bytes that are no text are no key

What callers saw: a request with the key "key\xff" was carried out if a configuration has the key "key" followed by U+FFFD: it ran with a key that no configuration has held.

Cause: the entry host replaced bytes that are no text in a key by U+FFFD, since messages between hosts hold valid UTF-8 only.

Change: such a key is passed on as no key, which belongs to no workspace.

--- a/internal/entryhost/entry.go
+++ b/internal/entryhost/entry.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
@@ -215,8 +216,12 @@
 // Submissions are repeated like other requests, because they are idempotent: a job is accepted only once.
 func (h *Host) Answer(ctx context.Context, req service.Request) service.Answer {
 	began := time.Now()
-	// Callers may send any bytes as a key or an identifier; messages between hosts hold valid UTF-8 only.
-	key, requestID := strings.ToValidUTF8(req.Key, "\uFFFD"), strings.ToValidUTF8(req.RequestID, "\uFFFD")
+	// Callers may send any bytes as a key or an identifier; messages between hosts hold valid UTF-8 only. No configuration has
+	// a key of other bytes, so that such a caller has none.
+	key, requestID := req.Key, strings.ToValidUTF8(req.RequestID, "\uFFFD")
+	if !utf8.ValidString(key) {
+		key = ""
+	}
 	in := &rpc.CallRequest{Kind: uint32(req.Kind), Host: req.Host, Path: req.Path, Queue: req.Queue, Job: req.Job, Key: key, Trace: requestID}
 	if req.Document != nil {
 		data, err := cbor.Marshal(req.Document)
