--- a/internal/domain/codec_test.go
+++ b/internal/domain/codec_test.go
@@ -68,6 +68,15 @@
 		Entry("a worker without an identifier", (&domain.Command{Register: &domain.Worker{Address: "10.0.0.1:80"}}).Encode()),
 	)
 
+	It("gives a name to each decoded state, outcome and stage", func() {
+		for value := 9; value < 256; value++ {
+			Expect(domain.JobState(value).String()).To(Equal("invalid"))
+			Expect(domain.Outcome(value).String()).To(Equal("invalid"))
+			Expect(domain.UpkeepStage(value).String()).To(Equal("invalid"))
+		}
+		Expect(domain.JobCompleted.String()).To(Equal("completed"))
+	})
+
 	It("applies commands that name no task of a job as ones that change nothing", func() {
 		m := domain.New()
 		m.Apply(&domain.Command{Submit: &domain.JobSpec{ID: "j", Steps: single}})
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -205,7 +205,7 @@
 var jobStateNames = [...]string{"pending", "running", "completed", "failed", "cancelled"}
 
 // String returns the name that callers and logs get.
-func (s JobState) String() string { return jobStateNames[s] }
+func (s JobState) String() string { return nameOf(jobStateNames[:], int(s)) }
 
 // Final reports whether a job in this state has ended.
 func (s JobState) Final() bool { return s >= JobCompleted }
@@ -262,6 +262,14 @@
 	return &tasks[id.Index]
 }
 
+// nameOf returns the name of a value that may have been decoded, and be one of a later version.
+func nameOf(names []string, value int) string {
+	if !within(value, len(names)) {
+		return "invalid"
+	}
+	return names[value]
+}
+
 // within reports whether a number that was decoded is an index of a list of n elements.
 func within(index, n int) bool { return index >= 0 && index < n }
 
@@ -347,4 +355,4 @@
 var outcomeNames = [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone", "absent", "lost"}
 
 // String returns the name for logs.
-func (o Outcome) String() string { return outcomeNames[o] }
+func (o Outcome) String() string { return nameOf(outcomeNames[:], int(o)) }
--- a/internal/domain/wave.go
+++ b/internal/domain/wave.go
@@ -14,7 +14,7 @@
 var upkeepStageNames = [...]string{"waiting", "ordered", "begun", "over"}
 
 // String returns the name for logs.
-func (s UpkeepStage) String() string { return upkeepStageNames[s] }
+func (s UpkeepStage) String() string { return nameOf(upkeepStageNames[:], int(s)) }
 
 // Upkeep is the state of the upkeep of one machine of a wave.
 type Upkeep struct {
