--- a/internal/corehost/old_data_test.go
+++ b/internal/corehost/old_data_test.go
@@ -84,4 +84,30 @@
 		Entry("in its log", "poisoned.wal", "127.98", false, domain.JobRunning),
 		Entry("in its log, after a snapshot", "compacted.wal", "127.176", true, domain.JobCompleted),
 	)
+
+	// Guards against a host that votes or acknowledges with a state that it does not have.
+	It("with a snapshot that cannot be decoded ends the host, which gives no vote and leaves the folder as it is", func() {
+		folder := GinkgoT().TempDir()
+		file, _, err := wal.Open(folder)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(file.WriteIdentity(replica.FoundingIncarnation)).To(Succeed())
+		var c replica.Config
+		for _, host := range testVoters {
+			c.Voters = append(c.Voters, replica.Member{Host: host, Incarnation: replica.FoundingIncarnation, Disk: true})
+		}
+		Expect(file.Replace([]replica.Record{{Group: groupName, HardState: &replica.HardState{Term: 2},
+			Snapshot: &replica.Snapshot{Index: 5, Term: 2, Config: c, Data: []byte{0xff}}}})).To(Succeed())
+		Expect(file.Close()).To(Succeed())
+		h := openHost(folder)
+		vote := replica.Message{Kind: replica.MsgVote, Term: 3, Index: 9, LogTerm: 2, Transfer: true}
+		Expect(deliver(h, vote)).To(MatchError(ContainSubstring("decoding a snapshot of the domain")))
+		Expect(deliver(h, vote)).NotTo(Succeed())
+		Expect(h.disk.take()).To(BeEmpty())
+		Expect(h.Run(context.Background())).To(MatchError(ContainSubstring("decoding a snapshot of the domain")))
+		file, state, err := wal.Open(folder)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(file.Close()).To(Succeed())
+		Expect(state.Groups[groupName].HardState).To(Equal(replica.HardState{Term: 2}))
+		Expect(state.Groups[groupName].LastIndex()).To(Equal(uint64(5)))
+	})
 })
