dispatch: a worker that answers each hold at once is not called without a pause

What callers saw: a worker that does not wait with its answer although no attempt ends got the next hold at once: 600 in 3 s in the model, whose steps take 5 ms; in a deployment as many as the round trip allows, each with up to 4 MiB to decode on the leader.

Cause: the next hold followed each answer, in the expectation that the worker waits.

Change: after the second such answer in a row the next hold follows 200 ms later. An answer with a new end, or one that has waited, ends the row.

Evidence: both new specs failed before (600 holds in 3 s); they pass.

--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -248,3 +248,30 @@
 		Expect(w.violations).To(BeEmpty())
 	})
 })
+
+// Guards against one worker that takes the processor of the leader, by answers that come at once.
+var _ = DescribeTable("a worker that does not wait for an end", func(change func(*dispatch.Reply)) {
+	w := newWorld(1, 3)
+	w.run(3 * time.Second)
+	w.hasty = badWorker
+	w.changeHolds(func(_ dispatch.Call, r *dispatch.Reply) { change(r) })
+	w.submit(domain.JobSpec{ID: "j", Payload: "work=6000", Steps: []domain.Step{step(24, 1)}})
+	w.run(5 * time.Second)
+	w.calls = nil
+	w.run(8 * time.Second)
+	holds := 0
+	for _, c := range w.calls {
+		if c.Worker.ID == badWorker && c.Kind == dispatch.CallHold {
+			holds++
+		}
+	}
+	Expect(holds).To(And(BeNumerically(">", 0), BeNumerically("<=", 20)))
+	w.run(11 * time.Second)
+	Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	Expect(w.violations).To(BeEmpty())
+},
+	Entry("and lists none", func(*dispatch.Reply) {}),
+	Entry("and lists an old one", func(r *dispatch.Reply) {
+		r.Ended = append(slices.Clone(r.Ended), ended(domain.TaskID{Job: "none"}, 1, domain.OutcomeDone))
+	}),
+)
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -344,10 +344,14 @@
 	if len(r.Ended) < endsPerPage { // Otherwise the end of an attempt may be on a later page.
 		ends = append(ends, l.absentAttempts(w, p, listed)...)
 	}
-	if s.endsInFlight || (cursor == w.Cursor && len(ends) == 0) {
+	if s.endsInFlight {
 		return
 	}
-	s.endsInFlight = true
+	if cursor == w.Cursor && len(ends) == 0 {
+		s.pauseIfHasty(now.Mono, p)
+		return
+	}
+	s.endsInFlight, s.hastyInARow = true, 0
 	l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Cursor: cursor, Ends: ends}})
 }
 
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// hastyPause is the time between the holds at a worker that answers them long before it has to although no attempt ends.
+const hastyPause = 200 * time.Millisecond
+
+// pauseIfHasty delays the next hold at a worker that has answered more than one in a row long before it had to, without a new
+// end. One such answer may follow an end that another answer has shown before.
+func (s *session) pauseIfHasty(now time.Duration, p pendingCall) {
+	if p.call.Wait == 0 {
+		return
+	}
+	if now-p.sentAt >= p.call.Wait/2 {
+		s.hastyInARow = 0
+	} else if s.hastyInARow++; s.hastyInARow > 1 {
+		s.nextHoldAt = now + hastyPause
+	}
+}
+
 // sendHold sends a hold. It renews the lease if the worker has a confirmed attempt and is not silent.
 func (l *Leader) sendHold(now Time, w *domain.Worker, s *session, wait time.Duration) {
 	c := Call{Kind: CallHold, Wait: wait}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -36,6 +36,7 @@
 	probedAt       time.Duration // When that was asked for.
 	doneAt         time.Duration // When an attempt on it last ended as done.
 	failedInARow   int           // Consecutive failures that count against the worker.
+	hastyInARow    int           // Holds answered too early in a row, see pauseIfHasty.
 	rejectedInARow int           // Starts rejected since the last confirmed one.
 	avoidUntil     time.Duration // Until then, the worker gets no new attempts.
 	listClockMS    int64         // The worker's clock at its newest lists.
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -45,6 +45,7 @@
 	lateStart       time.Duration                                     // If not 0, the first start is carried out this much late, unanswered.
 	lateAck         time.Duration                                     // If not 0, the next hold with a cursor is carried out this much late, unanswered.
 	answerDelay     func(dispatch.Call, dispatch.Reply) time.Duration // How much an answer is late.
+	hasty           string                                            // A worker that answers holds at once.
 	refuse          func(dispatch.Call) dispatch.Status               // If it is not OK, the worker answers so and does nothing.
 	changeAnswer    func(dispatch.Call, *dispatch.Reply)              // Changes what a worker answers.
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
@@ -345,7 +346,7 @@
 		w.at(w.now+networkDelay, func() { w.reply(leader, c, r) })
 		return
 	}
-	if c.Kind == dispatch.CallHold && w.now < deadline && !s.HasEndedAfter(c.Cursor) {
+	if c.Kind == dispatch.CallHold && w.now < deadline && c.Worker.ID != w.hasty && !s.HasEndedAfter(c.Cursor) {
 		first := c
 		first.Wait = 0
 		s.Call(w.now, first) // The lease is renewed when the call arrives, not when it is answered.
