corehost, domain, platform: stored jobs take a bounded part of the memory

What callers saw: 15,100 ordinary jobs with specs of 4,000 bytes, accepted within 33 s, took 400 MB of memory and 118 MB of disk on each core host (limits 280 and 128); 4,887 submissions got 503, and 4 to 8 % of the calls of others failed. 377 jobs of 20,000 tasks each took the leadership from the leader again and again: 25 to 30 % of the calls of others failed.

Cause: a job was accepted whatever was stored already. No part of the system answered 429.

The leader answers further ones with 429 (jobs_full). Accepted jobs are acknowledged again, shown and run as before.

--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -39,6 +39,9 @@
 	Seeds          []string // Addresses, without port, of core hosts to contact first; when founding, the first voters.
 	FaultTolerance int      // How many core hosts with a disk may be lost at once.
 	Dispatch       dispatch.Options
+	// JobBytes is how many bytes the stored jobs may take, 0 for any number. Further jobs are refused for the time being. A
+	// snapshot of them is several times in memory while it is written.
+	JobBytes int
 }
 
 // WorkerClient makes calls to workers.
@@ -98,6 +101,8 @@
 	knownHosts       []string // Addresses of the core hosts that are known here.
 	stopping         bool
 	registering      int // Bytes of registrations that are being committed.
+	submitting       int // Bytes of jobs that are being committed.
+	jobsWereFull     bool
 	// registrationsFull tells whether the last change of a registration found no room, see maxRegistrations.
 	registrationsFull bool
 	received          *receivedState    // Of a snapshot in the messages that are handled just now, else nil.
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -98,7 +98,13 @@
 	}
 	a, change := h.decide(now, req)
 	if change != nil {
+		size := 0
+		if change.Submit != nil {
+			size = change.Submit.Bytes()
+		}
+		h.submitting += size
 		a = h.commitChange(ctx, now, change, a)
+		h.submitting -= size
 	}
 	h.metrics.call(req.Kind, a.Verdict)
 	h.logCall(req, a, change)
@@ -143,9 +149,23 @@
 	if change != nil && h.stopping {
 		return service.Answer{Verdict: service.NotLeader}, nil
 	}
+	if change != nil && change.Submit != nil && h.jobsFull(change.Submit) {
+		return service.Answer{Verdict: service.Overloaded}, nil
+	}
 	return a, change
 }
 
+// jobsFull reports whether there is no room for another job, see Settings.JobBytes.
+func (h *Host) jobsFull(s *domain.JobSpec) bool {
+	bytes := h.stateMachine.JobBytes() + h.submitting
+	full := h.settings.JobBytes > 0 && bytes+s.Bytes() > h.settings.JobBytes
+	if full != h.jobsWereFull {
+		h.jobsWereFull = full
+		h.log.Info("jobs_full", "full", full, "jobs", h.stateMachine.JobCount(), "open_jobs", len(h.stateMachine.OpenJobs()), "bytes", bytes)
+	}
+	return full
+}
+
 // commitChange commits a change and returns the answer, or service.Unknown if the outcome is not known.
 func (h *Host) commitChange(ctx context.Context, now dispatch.Time, c *domain.Command, a service.Answer) service.Answer {
 	switch h.propose(ctx, now, c) {
--- a/internal/domain/apply_job.go
+++ b/internal/domain/apply_job.go
@@ -10,6 +10,7 @@
 		j.Occurrences = []*Occurrence{newOccurrence(spec)}
 	}
 	m.state.Jobs[spec.ID] = j
+	m.jobBytes += j.bytes()
 	m.open[spec.ID] = j
 	return Applied
 }
@@ -30,6 +31,7 @@
 	}
 	for len(j.Occurrences) < min(r.Count, j.Spec.Occurrences()) {
 		j.Occurrences = append(j.Occurrences, newOccurrence(&j.Spec))
+		m.jobBytes += j.Spec.occurrenceBytes()
 	}
 	return Applied
 }
@@ -99,9 +101,45 @@
 	purged := NotChanged
 	for id, j := range m.state.Jobs {
 		if j.State.Final() && j.EndedMS < before && m.endedWithAttempts[id] == nil {
+			m.jobBytes -= j.bytes()
 			delete(m.state.Jobs, id)
 			purged = Applied
 		}
 	}
 	return purged
 }
+
+// Shares of the size of a job, in bytes: about what its parts take in a snapshot, in the log and in memory.
+const (
+	jobOverhead  = 512
+	stepOverhead = 256
+	taskBytes    = 64
+)
+
+// Bytes returns about how many bytes a job takes with one occurrence.
+func (s *JobSpec) Bytes() int { return s.ownBytes() + s.occurrenceBytes() }
+
+// ownBytes returns about how many bytes a job takes beside its occurrences.
+func (s *JobSpec) ownBytes() int {
+	n := jobOverhead + len(s.ID) + len(s.Queue) + len(s.Workspace) + len(s.Payload)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		n += stepOverhead + len(step.Label) + len(step.DataRack) + len(step.Image) + 8*len(step.DependsOn)
+	}
+	return n
+}
+
+// occurrenceBytes returns about how many bytes the tasks of an occurrence take.
+func (s *JobSpec) occurrenceBytes() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count * taskBytes
+	}
+	return n
+}
+
+// bytes returns about how many bytes a job takes with the occurrences that are due.
+func (j *Job) bytes() int { return j.Spec.ownBytes() + len(j.Occurrences)*j.Spec.occurrenceBytes() }
+
+// JobBytes returns about how many bytes all stored jobs take.
+func (m *StateMachine) JobBytes() int { return m.jobBytes }
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -27,6 +27,7 @@
 	// endedWithAttempts is derived from the state: ended jobs of which attempts may still be present on workers.
 	endedWithAttempts map[JobID]*Job
 	registrationBytes int // Derived from the state, see RegistrationBytes.
+	jobBytes          int // Derived from the state, see JobBytes.
 }
 
 // state is the content of a snapshot.
@@ -90,12 +91,13 @@
 	m.open = map[JobID]*Job{}
 	m.endedWithAttempts = map[JobID]*Job{}
 	m.indexConfig()
-	m.registrationBytes = 0
+	m.registrationBytes, m.jobBytes = 0, 0
 	for _, w := range s.Workers {
 		w.attempts = map[TaskID]int{}
 		m.registrationBytes += w.RegistrationBytes()
 	}
 	for id, j := range s.Jobs {
+		m.jobBytes += j.bytes()
 		if !j.State.Final() {
 			m.open[id] = j
 		}
