dispatch: one wrong reading of a worker's clock does not bound its leases

What callers saw: tasks ran twice at once. A report with a clock_ms that is too high made the ends of all later leases lie far ahead on the worker's clock, so a hold that was carried out late renewed the longest lease. The leader counted the lease as over about 10 s after it was sent and started the tasks elsewhere.

Cause: the highest reading stayed the bound of the clock. All true readings after it were below the bound and ignored as old.

Change: a reading bounds leases only if an answer to a later call agrees with it; until then the leases count as those that a late call may grant. A report's reading bounds none before that, but still shows that the worker can be used. An answer to a later call that shows less disproves the bound: the lower reading counts, and late calls are reckoned with. A worker whose answers show no clock gets no work and is asked again each second.

Evidence: 9 of the new specs failed before: tasks ran twice for readings too high in a report and in an answer, idle and busy, and the first one before a start; a task was placed on a worker whose answers showed no clock. All pass, as do dispatch and corehost.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -28,7 +28,7 @@
 		case a.stopWanted && !a.stopConfirmed:
 			a.callsInFlight++
 			l.sendCall(now, w, Call{Kind: CallStop, Task: id, Attempt: a.number})
-		case !a.stopWanted && !a.startConfirmed && s.hasClock && !s.unfenced && s.unknown == 0 && len(l.toReject(now, s)) == 0 && !s.silent(now.Mono):
+		case !a.stopWanted && !a.startConfirmed && s.hasClock() && !s.unfenced && s.unknown == 0 && len(l.toReject(now, s)) == 0 && !s.silent(now.Mono):
 			l.sendStart(now, w, s, a)
 		}
 	}
@@ -91,9 +91,12 @@
 const firstLease = 3 * time.Second
 
 // extendLease returns the end of a lease that begins now, on the worker's clock. It is never before the end of an
-// earlier one, and is computed from a lower bound of the clock.
+// earlier one, and is computed from a lower bound of the clock. Workers shorten a lease to the longest one.
 func (l *Leader) extendLease(now Time, s *session, lease time.Duration) int64 {
-	s.leaseUntilMS = max(s.leaseUntilMS, s.clockLowerBound(now.Mono)+lease.Milliseconds())
+	s.leaseUntilMS = max(s.leaseUntilMS, s.clock.lowerBound(now.Mono)+lease.Milliseconds())
+	if s.clock == s.nextClock {
+		s.unconfirmedLeaseEnd = lateLeaseEnd(now.Mono, l.options.LeaseDuration)
+	}
 	return s.leaseUntilMS
 }
 
@@ -111,7 +114,7 @@
 	if s != nil {
 		l.mayNeedHold(s)
 		// Only then can the answer change whether the worker gets new attempts. Ends that it lists count once committed.
-		l.dirty = l.dirty || s.unknown > 0 || s.failures > 0 || !s.hasClock || s.unfenced || s.incarnation != p.call.Worker || s.probing || r.Status != OK
+		l.dirty = l.dirty || s.unknown > 0 || s.failures > 0 || !s.hasClock() || s.unfenced || s.incarnation != p.call.Worker || s.probing || r.Status != OK
 		s.probing = false // It has answered, or its failure keeps work away from it.
 	}
 	switch {
@@ -163,7 +166,7 @@
 		l.unanswered(now, s, a)
 		return
 	}
-	s.learnClock(now.Mono, r.ClockMS)
+	s.clockAnswered(now.Mono, p.sentAt, r.ClockMS, l.options.LeaseDuration)
 	if r.Status == RejectedFence {
 		l.refusedFence(s)
 		return
@@ -296,6 +299,9 @@
 // holdAnswered handles the lists of a worker: it confirms the running attempts and proposes to commit the ends.
 func (l *Leader) holdAnswered(now Time, s *session, p pendingCall, r Reply) {
 	s.nextHoldAt = now.Mono
+	if !s.hasClock() {
+		s.nextHoldAt = now.Mono + retryMax
+	}
 	s.ackedCursor = max(s.ackedCursor, p.call.Cursor)
 	s.unfenced = false
 	w := l.state.Worker(s.incarnation.ID)
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -79,9 +79,9 @@
 		s.holdNow = false
 		l.sendHold(now, w, s, 0)
 	case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
-	case !busy && (!s.hasClock || s.unfenced) && s.failures == 0:
+	case !busy && (s.needsClock() || s.unfenced) && s.failures == 0:
 		l.sendHold(now, w, s, 0) // The answer contains the clock, so a new leader need not wait for the worker's report.
-	case busy && (!s.hasClock || s.unfenced):
+	case busy && (!s.hasClock() || s.unfenced):
 		l.sendHold(now, w, s, 0)
 	case busy && l.shared(w):
 		l.sendHold(now, w, s, sharedHoldWait)
@@ -105,7 +105,7 @@
 	if s.everAnswered && s.failures == 0 && w.Cursor > s.ackedCursor {
 		c.Cursor = w.Cursor
 	}
-	if s.hasClock && !s.silent(now.Mono) && !s.leaving && l.hasConfirmedAttempt(w) {
+	if s.hasClock() && !s.silent(now.Mono) && !s.leaving && l.hasConfirmedAttempt(w) {
 		c.UntilMS = l.extendLease(now, s, l.options.LeaseDuration)
 	}
 	s.holdsInFlight++
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -204,11 +204,11 @@
 // WorkerReported handles a report of a registered worker.
 func (l *Leader) WorkerReported(now Time, incarnation domain.WorkerIncarnation, clockMS int64) {
 	s := l.session(incarnation, now)
-	if l.unheard(now, s) >= l.reportLimit() || !s.hasClock {
+	if l.unheard(now, s) >= l.reportLimit() || s.needsClock() {
 		l.dirty = true // It may become usable.
 	}
 	s.reportedAt = now.Mono
-	s.learnClock(now.Mono, clockMS)
+	s.clockReported(now.Mono, clockMS)
 }
 
 // WorkerLeaves handles a worker's notice that it is about to end. The worker may run on for some time after the notice,
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -16,11 +16,13 @@
 type session struct {
 	incarnation domain.WorkerIncarnation
 	createdAt   time.Duration
-	// The reading of the worker's clock that gives the best bound, and when it arrived here.
-	clockMS      int64
-	clockAt      time.Duration
-	hasClock     bool
+	// clock bounds the leases. It is the reading of an answer, or another one that an answer to a later call has confirmed.
+	clock clockReading
+	// nextClock replaces clock once an answer to a later call confirms it. While the two are equal, clock is not confirmed.
+	nextClock    clockReading
 	leaseUntilMS int64 // Latest end of a lease that this leader has sent.
+	// unconfirmedLeaseEnd is when the leases are over that were granted by a clock that is not confirmed.
+	unconfirmedLeaseEnd time.Duration
 	// answeredAt is when the worker last answered a call, reportedAt when its last report arrived.
 	answeredAt    time.Duration
 	reportedAt    time.Duration
@@ -53,26 +55,74 @@
 	forgetInFlight bool          // A command that forgets this incarnation is proposed and not applied yet.
 }
 
-// clockLowerBound returns a lower bound of the worker's clock: the last reading, advanced at the slowest allowed rate.
-func (s *session) clockLowerBound(now time.Duration) int64 {
-	return s.clockMS + int64(float64((now-s.clockAt).Milliseconds())*slowestClockRate)
+// clockReading is a reading of a worker's clock.
+type clockReading struct {
+	ms int64         // 0 if there is none.
+	at time.Duration // When it arrived here.
 }
 
-// learnClock stores a reading of the worker's clock, unless it is below the known bound: an older reading that arrives
-// late would be a weaker bound.
-func (s *session) learnClock(now time.Duration, clockMS int64) {
-	if clockMS == 0 || (s.hasClock && clockMS < s.clockLowerBound(now)) {
-		return
+// known tells whether there is a reading.
+func (r clockReading) known() bool { return r.ms != 0 }
+
+// leastAdvance returns by how much the clock is ahead of the reading at least at a later time: at the slowest allowed rate.
+func (r clockReading) leastAdvance(at time.Duration) int64 {
+	return int64(float64((at - r.at).Milliseconds()) * slowestClockRate)
+}
+
+// lowerBound returns a lower bound of the clock at a time after the reading.
+func (r clockReading) lowerBound(at time.Duration) int64 { return r.ms + r.leastAdvance(at) }
+
+// disprovedBy tells whether the answer to a call contradicts the reading. The answer to a call that was sent before the
+// reading arrived may show an earlier time.
+func (r clockReading) disprovedBy(clockMS int64, sentAt time.Duration) bool {
+	return r.known() && sentAt >= r.at && clockMS-r.ms < r.leastAdvance(sentAt)
+}
+
+// hasClock tells whether leases can be granted.
+func (s *session) hasClock() bool { return s.clock.known() }
+
+// needsClock tells whether a hold is to ask for the clock before work is placed on the worker. After a report, it need not:
+// the worker is probed anyway.
+func (s *session) needsClock() bool {
+	return !s.hasClock() && (s.everAnswered || !s.nextClock.known())
+}
+
+// clockReported stores the reading of a report while no answer has shown the clock. It bounds no lease until an answer
+// confirms it.
+func (s *session) clockReported(now time.Duration, clockMS int64) {
+	if clockMS != 0 && !s.hasClock() {
+		s.nextClock = clockReading{clockMS, now}
+	}
+}
+
+// clockAnswered handles the reading in the answer to a call that was sent at sentAt. A reading that is too high would let a
+// call that is carried out late grant a lease beyond the end that is reckoned with. Of two readings that contradict each other
+// the lower one therefore counts, and until lateCallLimit is over, late calls may grant the longest lease.
+func (s *session) clockAnswered(now, sentAt time.Duration, clockMS int64, longestLease time.Duration) {
+	r := clockReading{clockMS, now}
+	switch {
+	case !r.known():
+	case s.clock.disprovedBy(clockMS, sentAt):
+		s.clock, s.nextClock, s.leaseUntilMS = r, r, 0
+		s.earlierLeaseEnd = max(s.earlierLeaseEnd, lateLeaseEnd(now, longestLease))
+	case s.nextClock.disprovedBy(clockMS, sentAt) && s.hasClock():
+		s.nextClock = r
+	case s.nextClock.known() && sentAt >= s.nextClock.at && !s.nextClock.disprovedBy(clockMS, sentAt):
+		if !s.hasClock() || s.nextClock.ms >= s.clock.lowerBound(s.nextClock.at) {
+			s.clock, s.unconfirmedLeaseEnd = s.nextClock, 0
+		}
+		s.nextClock = r
+	case !s.hasClock():
+		s.clock, s.nextClock = r, r
 	}
-	s.clockMS, s.clockAt, s.hasClock = clockMS, now, true
 }
 
 // leaseEnd returns when all leases on the worker are certainly over, including those that earlier leaders granted.
 func (s *session) leaseEnd() time.Duration {
 	over := s.earlierLeaseEnd
-	if s.hasClock && s.leaseUntilMS > 0 {
-		left := float64(s.leaseUntilMS-s.clockMS) / slowestClockRate
-		over = max(over, s.clockAt+time.Duration(left*float64(time.Millisecond)))
+	if s.hasClock() && s.leaseUntilMS > 0 {
+		left := float64(s.leaseUntilMS-s.clock.ms) / slowestClockRate
+		over = max(over, s.unconfirmedLeaseEnd, s.clock.at+time.Duration(left*float64(time.Millisecond)))
 	}
 	return over + leaseSlack
 }
@@ -85,10 +135,15 @@
 // lateCallLimit is how late a worker may carry out a call that was not answered.
 const lateCallLimit = 12 * time.Second
 
+// lateLeaseEnd returns when a lease is over at the latest that a call grants, if it is sent now and carried out late.
+func lateLeaseEnd(now, lease time.Duration) time.Duration {
+	return now + lateCallLimit + longest(lease)
+}
+
 // mayGetLateStarts notes that the worker may until then carry out starts that were meant for an earlier incarnation with
 // its identifier, under leases that they grant.
 func (s *session) mayGetLateStarts(now, lease time.Duration) {
-	s.earlierLeaseEnd = max(s.earlierLeaseEnd, now+lateCallLimit+longest(lease))
+	s.earlierLeaseEnd = max(s.earlierLeaseEnd, lateLeaseEnd(now, lease))
 }
 
 // silentAfter is for how long a worker may leave calls unanswered before its lease is no longer extended.
