--- a/soak/sender.go
+++ b/soak/sender.go
@@ -115,7 +115,8 @@
 		header := map[string]string{"Content-Type": pick(s.random, []string{"application/protobuf", "application/json", "\xff"})}
 		s.call(net.JoinHostPort(core.proxyIP, fmt.Sprint(s.run.ports.peers)), http.MethodPost, "/twirp/mustardwalk.rpc."+path, header, message)
 	case 9:
-		s.sendBytes(pick(s.random, []string{control, front, net.JoinHostPort(core.proxyIP, fmt.Sprint(s.run.ports.peers))}))
+		s.sendBytes(pick(s.random, []string{control, front, net.JoinHostPort(core.proxyIP, fmt.Sprint(s.run.ports.peers)),
+			net.JoinHostPort(entry.listenIP, fmt.Sprint(s.run.ports.ready))}))
 	}
 }
 
