dispatch: a worker that confirms starts and shows nothing of them is avoided

What callers saw: a job did not complete while one worker of several confirmed each start and then listed the attempt neither as running nor as ended: it was recorded as absent, and its task put there again at once, since the capacity was free.

Cause: an attempt that is gone after its confirmed start did not count against the worker.

--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -275,3 +275,33 @@
 		r.Ended = append(slices.Clone(r.Ended), ended(domain.TaskID{Job: "none"}, 1, domain.OutcomeDone))
 	}),
 )
+
+// Guards against tasks that go to a worker again and again that confirms their starts and never runs them.
+var _ = Describe("a worker that confirms starts and lists nothing", func() {
+	It("does not keep the tasks", func() {
+		w := newWorld(1, 3)
+		w.run(3 * time.Second)
+		w.refuse = func(c dispatch.Call) dispatch.Status {
+			if c.Worker.ID == badWorker && c.Kind == dispatch.CallStart {
+				return dispatch.Unhealthy
+			}
+			return dispatch.OK
+		}
+		w.changeAnswer = func(c dispatch.Call, r *dispatch.Reply) {
+			if c.Worker.ID == badWorker && c.Kind == dispatch.CallStart {
+				r.Status = dispatch.OK
+			}
+		}
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(24, 1)}})
+		w.run(8 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+		starts := 0
+		for _, c := range w.calls {
+			if c.Worker.ID == badWorker && c.Kind == dispatch.CallStart {
+				starts++
+			}
+		}
+		Expect(starts).To(And(BeNumerically(">", 0), BeNumerically("<=", 50)))
+		Expect(w.violations).To(BeEmpty())
+	})
+})
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -342,7 +342,7 @@
 		cursor = max(cursor, e.Number)
 	}
 	if len(r.Ended) < endsPerPage { // Otherwise the end of an attempt may be on a later page.
-		ends = append(ends, l.absentAttempts(w, p, listed)...)
+		ends = append(ends, l.absentAttempts(now, w, s, p, listed)...)
 	}
 	if s.endsInFlight {
 		return
@@ -447,15 +447,20 @@
 }
 
 // absentAttempts returns the ends of attempts that the worker does not list although it confirmed their start or stop
-// before the call was sent: they are over.
-func (l *Leader) absentAttempts(w *domain.Worker, p pendingCall, listed map[domain.TaskID]int) []domain.AttemptEnd {
+// before the call was sent: they are over. A worker that has confirmed a start and shows nothing of it is avoided for a while.
+func (l *Leader) absentAttempts(now Time, w *domain.Worker, s *session, p pendingCall, listed map[domain.TaskID]int) []domain.AttemptEnd {
 	var out []domain.AttemptEnd
+	vanished := false
 	for id, attempt := range w.Attempts() {
 		a := l.attempts[id]
 		if a == nil || listed[id] == attempt || !(a.startConfirmed || a.stopConfirmed) || a.confirmedAt >= p.sentAt || (a.stopWanted && !a.stopConfirmed) {
 			continue
 		}
 		out = append(out, domain.AttemptEnd{Task: id, Attempt: attempt, Outcome: domain.OutcomeAbsent, Checkpoint: a.checkpoint})
+		vanished = vanished || (a.startConfirmed && !a.stopWanted)
+	}
+	if vanished && !s.endsInFlight {
+		s.avoid(now.Mono)
 	}
 	return out
 }
