dispatch: a worker that refuses holds is offered its lease for a while longer

What callers saw: tasks were lost or ran again from a checkpoint on a worker that answers part of its holds with 503, more of them than before. Tasks on a worker that refuses all calls from the first start on never ran anywhere, and their jobs hung.

Cause: 1.2 s after the last lists the holds carried no lease any more, so the first good one renewed nothing, and it waited up to 2 s for an end before the next could. The retries came only once a second. An answered start or stop, even a refused one, counted as a sign of life, so a worker that refused its stops for good was never silent.

Change: the lease is offered until lists have been missing for half of it, and from then on answered starts and stops do not extend it. A busy worker that refused a hold gets the next one after 0.5 s at the latest, answered at once. An idle one is asked as before.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -13,6 +13,10 @@
 	retryMax   = time.Second
 )
 
+// refusedHoldRetry is the longest time until a busy worker that has refused a hold gets the next one. It has answered, and its
+// lease, which is only some of these times long, is running out.
+const refusedHoldRetry = 500 * time.Millisecond
+
 // sendStartsAndStops sends and retries starts and stops until the workers confirm them. A worker gets starts only after its
 // first list, which shows what earlier leaders have started there.
 func (l *Leader) sendStartsAndStops(now Time) {
@@ -28,7 +32,7 @@
 		case a.stopWanted && !a.stopConfirmed:
 			a.callsInFlight++
 			l.sendCall(now, w, Call{Kind: CallStop, Task: id, Attempt: a.number})
-		case !a.stopWanted && !a.startConfirmed && s.hasClock() && !s.unfenced && s.unknown == 0 && len(l.toReject(now, s)) == 0 && !s.silent(now.Mono):
+		case !a.stopWanted && !a.startConfirmed && s.hasClock() && !s.unfenced && s.unknown == 0 && len(l.toReject(now, s)) == 0 && !s.silent(now.Mono, l.options.LeaseDuration):
 			l.sendStart(now, w, s, a)
 		}
 	}
@@ -172,8 +176,13 @@
 		return
 	}
 	if p.call.Kind == CallHold && (r.Status != OK || !r.HasLists) {
-		l.unanswered(now, s, nil) // Nothing shows what runs there, so its leases must end as if it were silent.
-		s.nextHoldAt = now.Mono + retryMax
+		s.refusedAt = now.Mono
+		l.unanswered(now, s, nil) // Nothing shows what runs there, so it gets no new work.
+		if l.isBusy(s) {
+			s.nextHoldAt = min(s.nextHoldAt, now.Mono+refusedHoldRetry)
+		} else {
+			s.nextHoldAt = now.Mono + retryMax
+		}
 		return
 	}
 	s.answeredAt, s.everAnswered, s.failures = now.Mono, true, 0
@@ -302,6 +311,7 @@
 	if !s.hasClock() {
 		s.nextHoldAt = now.Mono + retryMax
 	}
+	s.listedAt, s.refusedAt = now.Mono, 0
 	s.ackedCursor = max(s.ackedCursor, p.call.Cursor)
 	s.unfenced = false
 	w := l.state.Worker(s.incarnation.ID)
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -83,6 +83,8 @@
 		l.sendHold(now, w, s, 0) // The answer contains the clock, so a new leader need not wait for the worker's report.
 	case busy && (!s.hasClock() || s.unfenced):
 		l.sendHold(now, w, s, 0)
+	case busy && s.refusedAt > 0: // Its lease may be about to end, and is extended again once it lists.
+		l.sendHold(now, w, s, 0)
 	case busy && l.shared(w):
 		l.sendHold(now, w, s, sharedHoldWait)
 	case busy, s.unknown > 0: // It is answered when an attempt ends.
@@ -105,7 +107,7 @@
 	if s.everAnswered && s.failures == 0 && w.Cursor > s.ackedCursor {
 		c.Cursor = w.Cursor
 	}
-	if s.hasClock() && !s.silent(now.Mono) && !s.leaving && l.hasConfirmedAttempt(w) {
+	if s.hasClock() && !s.silent(now.Mono, l.options.LeaseDuration) && !s.leaving && l.hasConfirmedAttempt(w) {
 		c.UntilMS = l.extendLease(now, s, l.options.LeaseDuration)
 	}
 	s.holdsInFlight++
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -26,6 +26,8 @@
 	// answeredAt is when the worker last answered a call, reportedAt when its last report arrived.
 	answeredAt    time.Duration
 	reportedAt    time.Duration
+	listedAt      time.Duration // When it last listed what runs there.
+	refusedAt     time.Duration // When it last answered a hold without usable lists, 0 if it has listed since.
 	everAnswered  bool
 	failures      int // Calls without an answer, or holds refused, since the last answer.
 	holdsInFlight int
@@ -149,10 +151,16 @@
 // silentAfter is for how long a worker may leave calls unanswered before its lease is no longer extended.
 const silentAfter = 1200 * time.Millisecond
 
-// silent tells whether the worker has stopped answering. Its lease is then not extended, so that it ends and the tasks
-// can start elsewhere.
-func (s *session) silent(now time.Duration) bool {
-	return (s.failures > 0 || s.fenced) && now-max(s.answeredAt, s.createdAt) > silentAfter
+// unlistedShare is for which share of a lease a worker may answer holds without usable lists before its lease is no longer
+// extended. A healthy answer within it renews the lease in time.
+const unlistedShare = 0.5
+
+// silent tells whether the worker has stopped answering, or to list what runs there. Its lease is then not extended, so that it
+// ends and the tasks can start elsewhere.
+func (s *session) silent(now, lease time.Duration) bool {
+	unanswered := (s.failures > 0 || s.fenced) && now-max(s.answeredAt, s.refusedAt, s.createdAt) > silentAfter
+	unlisted := s.refusedAt > 0 && now-max(s.listedAt, s.createdAt) > time.Duration(unlistedShare*float64(lease))
+	return unanswered || unlisted
 }
 
 // ending tells whether the incarnation has ended, is about to end or takes no calls of this leader.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -191,7 +191,7 @@
 func (l *Leader) expireLeases(now Time) {
 	for _, s := range l.sessions {
 		w := l.state.Worker(s.incarnation.ID)
-		if w == nil || w.Incarnation != s.incarnation || len(w.Attempts()) == 0 || s.endsInFlight || !s.silent(now.Mono) {
+		if w == nil || w.Incarnation != s.incarnation || len(w.Attempts()) == 0 || s.endsInFlight || !s.silent(now.Mono, l.options.LeaseDuration) {
 			continue
 		}
 		if now.Mono < s.leaseEnd() {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -43,6 +43,7 @@
 	lateAck         time.Duration                                     // If not 0, the next hold with a cursor is carried out this much late, unanswered.
 	answerDelay     func(dispatch.Call, dispatch.Reply) time.Duration // How much an answer is late.
 	changeAnswer    func(dispatch.Call, *dispatch.Reply)              // Changes what a worker answers.
+	refuse          func(dispatch.Call) bool                          // Calls that an unhealthy worker refuses, having done nothing.
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
 	log             func(event string, kv ...any)
@@ -74,7 +75,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), stateMachine: domain.New(), gangs: simworker.NewGangs(), cutOff: map[string]bool{},
 		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commitDelay: usualCommitDelay, delayedCalls: map[string][]func(){}, onLoss: func() {},
 		log: func(string, ...any) {}, answerDelay: func(dispatch.Call, dispatch.Reply) time.Duration { return 0 },
-		changeAnswer: func(dispatch.Call, *dispatch.Reply) {},
+		changeAnswer: func(dispatch.Call, *dispatch.Reply) {}, refuse: func(dispatch.Call) bool { return false },
 	}
 	w.gangs.OnEvent = w.observe
 	w.gangs.OnAcknowledged = func(e simworker.Event) {
@@ -296,6 +297,10 @@
 		lost()
 		return
 	}
+	if w.refuse(c) {
+		w.at(w.now+2*networkDelay, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.Unhealthy, ClockMS: s.Clock(w.now)}) })
+		return
+	}
 	if c.Kind == dispatch.CallStart && w.lateStart > 0 {
 		lost()
 		w.lateCall(c, w.lateStart)
