--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -48,6 +48,7 @@
 	hasty           string                                            // A worker that answers holds at once.
 	refuse          func(dispatch.Call) dispatch.Status               // If it is not OK, the worker answers so and does nothing.
 	changeAnswer    func(dispatch.Call, *dispatch.Reply)              // Changes what a worker answers.
+	unhealthy       func(dispatch.Call) bool                          // Calls that a worker refuses with 503 when they arrive, having done nothing.
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
 	log             func(event string, kv ...any)
@@ -81,6 +82,7 @@
 		log: func(string, ...any) {}, answerDelay: func(dispatch.Call, dispatch.Reply) time.Duration { return 0 },
 		refuse:       func(dispatch.Call) dispatch.Status { return dispatch.OK },
 		changeAnswer: func(dispatch.Call, *dispatch.Reply) {},
+		unhealthy:    func(dispatch.Call) bool { return false },
 	}
 	w.gangs.OnEvent = w.observe
 	w.gangs.OnAcknowledged = func(e simworker.Event) {
@@ -308,6 +310,10 @@
 		lost()
 		return
 	}
+	if w.unhealthy(c) {
+		w.at(w.now+2*networkDelay, func() { w.reply(leader, c, dispatch.Reply{Status: dispatch.Unhealthy, ClockMS: s.Clock(w.now)}) })
+		return
+	}
 	if c.Kind == dispatch.CallStart && w.lateStart > 0 {
 		lost()
 		w.lateCall(c, w.lateStart)
