dispatch: work goes to workers that have answered

Cause: a worker that had never been called counted as able to take work, so that each plan chose another one, and waited for its answer in vain. Afterwards each counted for good as a sign that its zone is cut off, since it reported; idle workers are not called and so could not speak against it. First calls to workers waited in one queue with all repeated ones.

Change: a worker gets work only after it has answered this leader, and is called as soon as it registers. Repeated calls to them take half of the places and a bounded rate, so that the first call to a worker is made at once.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -114,7 +114,7 @@
 	if s != nil {
 		l.mayNeedHold(s)
 		// Only then can the answer change whether the worker gets new attempts. Ends that it lists count once committed.
-		l.dirty = l.dirty || s.unknown > 0 || s.failures > 0 || !s.hasClock() || s.unfenced || s.incarnation != p.call.Worker || s.probing || r.Status != OK
+		l.dirty = l.dirty || s.unknown > 0 || s.failures > 0 || !s.hasClock() || !s.everAnswered || s.unfenced || s.incarnation != p.call.Worker || s.probing || r.Status != OK
 		s.probing = false // It has answered, or its failure keeps work away from it.
 	}
 	switch {
--- a/internal/dispatch/foreign_test.go
+++ b/internal/dispatch/foreign_test.go
@@ -13,10 +13,14 @@
 
 // addForeign registers entries of another writer, three in each zone, whose pool the configuration does not name. They are
 // reported again and again, and nothing answers at their addresses.
-func (w *world) addForeign() {
-	for i := range 9 {
-		x := &domain.Worker{Incarnation: domain.WorkerIncarnation{ID: fmt.Sprint("foreign-", i), BornMS: wallStart + 1}, Pool: "other",
-			Address: fmt.Sprint("10.9.9.", i, ":80"), Zone: fmt.Sprint("z", i%3), Capacity: domain.Resources{Accelerators: 8}}
+func (w *world) addForeign() { w.addEntries(9, "other") }
+
+// addEntries registers entries of a pool in all zones, as addForeign does.
+func (w *world) addEntries(n int, pool string) {
+	for i := range n {
+		x := &domain.Worker{Incarnation: domain.WorkerIncarnation{ID: fmt.Sprint("foreign-", i), BornMS: wallStart + 1}, Pool: pool,
+			Address: fmt.Sprint("10.9.", i/250, ".", i%250, ":80"), Zone: fmt.Sprint("z", i%3),
+			Capacity: domain.Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}}
 		w.commit(&domain.Command{Register: x})
 		var report func()
 		report = func() {
@@ -46,6 +50,31 @@
 		Entry("after a change of the leader", true),
 	)
 
+	// Guards against work that waits until each such entry has been tried, and against zones that are taken for cut off for good.
+	DescribeTable("that name a configured pool and do not answer keep no work from the workers for long", func(entries int, newLeader bool) {
+		w := newWorld(1, 6)
+		w.addEntries(entries, "pool")
+		w.run(time.Second)
+		if newLeader {
+			w.elect()
+			w.run(20 * time.Second)
+		}
+		for i := range 3 {
+			id := domain.JobID(fmt.Sprint("j", i))
+			w.submit(domain.JobSpec{ID: id, Payload: "work=500", Steps: []domain.Step{step(2, 1)}})
+			w.run(w.now + 2*time.Second)
+			Expect(w.state(id)).To(Equal(domain.JobCompleted))
+		}
+		w.addWorker("new", 7)
+		w.run(w.now + time.Second)
+		Expect(w.calls).To(ContainElement(HaveField("Worker.ID", "new")), "a new worker is asked at once")
+	},
+		Entry("9 of them", 9, false),
+		Entry("9 of them, after a change of the leader", 9, true),
+		Entry("1,000 of them", 1000, false),
+		Entry("1,000 of them, after a change of the leader", 1000, true),
+	)
+
 	// Guards against entries of a pool that a configuration has dropped, which would stay as long as somebody reports them.
 	It("are forgotten although they are reported again and again", func() {
 		w := newWorld(1, 2)
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -24,12 +24,16 @@
 // With a quarter of 1,100 workers not answering for 0.6 s, all have been called after 1.3 s.
 const maxContactsInFlight = 128
 
+// maxRepeatedContacts bounds the repeated ones among them, and how many of these begin in watchEvery: a fleet of 1,100 workers
+// is asked again within a second, and entries that never answer do not delay the first call to a worker.
+const maxRepeatedContacts = maxContactsInFlight / 2
+
 // mayNeedHold notes that a session has changed in a way that may require a hold.
 func (l *Leader) mayNeedHold(s *session) { l.toHold[s] = struct{}{} }
 
 // watchHolds notes all sessions, for what becomes due by the passing of time alone, and counts the busy workers.
 func (l *Leader) watchHolds() {
-	l.busyWorkers = 0
+	l.busyWorkers, l.contactsRepeated = 0, 0
 	for _, s := range l.sessions {
 		l.mayNeedHold(s)
 		if w := l.state.Worker(s.incarnation.ID); w != nil && len(w.Attempts()) > 0 {
@@ -41,17 +45,28 @@
 // sendHolds keeps one hold in flight to each worker with attempts, acknowledges the last ends of the other workers, and
 // probes those that have not been heard from or have left calls unanswered.
 func (l *Leader) sendHolds(now Time) {
-	var idleContacts []*session
+	var first, repeated []*session // Contacts to idle workers.
 	for s := range l.toHold {
-		if !s.everAnswered && !l.isBusy(s) {
-			idleContacts = append(idleContacts, s)
-		} else {
+		switch {
+		case s.everAnswered || l.isBusy(s):
 			l.sendHoldIfDue(now, s)
+		case s.failures == 0:
+			first = append(first, s)
+		default:
+			repeated = append(repeated, s)
 		}
 	}
-	for _, s := range idleContacts {
+	for _, s := range first {
 		l.sendHoldIfDue(now, s)
 	}
+	for _, s := range repeated {
+		if l.contactsInFlight >= maxRepeatedContacts || l.contactsRepeated >= maxRepeatedContacts {
+			break
+		}
+		if l.sendHoldIfDue(now, s) {
+			l.contactsRepeated++
+		}
+	}
 }
 
 // isBusy reports whether a worker has attempts.
@@ -60,17 +75,17 @@
 	return w != nil && w.Incarnation == s.incarnation && len(w.Attempts()) > 0
 }
 
-// sendHoldIfDue sends the hold that a session needs now, if any.
-func (l *Leader) sendHoldIfDue(now Time, s *session) {
+// sendHoldIfDue sends the hold that a session needs now, if any. It returns whether it has sent one.
+func (l *Leader) sendHoldIfDue(now Time, s *session) bool {
 	if !s.everAnswered && l.contactsInFlight >= maxContactsInFlight {
-		return
+		return false
 	}
 	if now.Mono >= s.nextHoldAt {
 		delete(l.toHold, s)
 	}
 	w := l.state.Worker(s.incarnation.ID)
 	if w == nil || w.Incarnation != s.incarnation || s.endsInFlight || s.replaced || s.fenced || l.foreign(w) {
-		return
+		return false
 	}
 	busy := len(w.Attempts()) > 0
 	unacked := w.Cursor > s.ackedCursor
@@ -79,8 +94,9 @@
 		s.holdNow = false
 		l.sendHold(now, w, s, 0)
 	case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
-	case !busy && (s.needsClock() || s.unfenced) && s.failures == 0:
-		l.sendHold(now, w, s, 0) // The answer contains the clock, so a new leader need not wait for the worker's report.
+		return false
+	case !busy && (s.needsClock() || s.unfenced || !s.everAnswered) && s.failures == 0:
+		l.sendHold(now, w, s, 0) // It gets work only after an answer, which also contains its clock.
 	case busy && (!s.hasClock() || s.unfenced):
 		l.sendHold(now, w, s, 0)
 	case busy && l.shared(w):
@@ -93,7 +109,10 @@
 		l.sendHold(now, w, s, 0) // The host that it reports to may have ended; a call shows whether it can be reached.
 	case s.failures > 0 && now.Mono-s.reportedAt < l.options.ReportPeriod+reportSlack:
 		l.sendHold(now, w, s, 0) // It reports, but only a call shows whether it can be reached again.
+	default:
+		return false
 	}
+	return true
 }
 
 // hastyPause is the time between the holds at a worker that answers them long before it has to although no attempt ends.
