dispatch: one burst of rejected starts counts once

What callers saw: eight starts of one plan that a worker rejected for want of room (its capacity was not free yet) kept it without work for 10 s, as if it had failed four times.

Change: rejections while the worker is avoided already do not make it longer.

Evidence: the new spec failed before; it passes.

--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -305,3 +305,20 @@
 		Expect(w.violations).To(BeEmpty())
 	})
 })
+
+// Guards against a worker that gets no work for long because of one plan whose starts all came too early.
+var _ = It("a worker that rejects one burst of starts is used again soon", func() {
+	w := newWorld(1, 1)
+	w.run(3 * time.Second)
+	rejectUntil := 3200 * time.Millisecond
+	w.refuse = func(c dispatch.Call) dispatch.Status {
+		if c.Kind == dispatch.CallStart && w.now < rejectUntil {
+			return dispatch.RejectedCapacity
+		}
+		return dispatch.OK
+	}
+	w.submit(domain.JobSpec{ID: "j", Payload: "work=1000", Steps: []domain.Step{step(8, 1)}})
+	w.run(8 * time.Second)
+	Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	Expect(w.violations).To(BeEmpty())
+})
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -259,8 +259,8 @@
 	}
 	if r.Status == OK {
 		s.rejectedInARow = 0
-	} else if s.rejectedInARow++; s.rejectedInARow > maxRejectedInARow || r.Status == BadCall {
-		s.avoid(now.Mono)
+	} else if s.rejectedInARow++; (s.rejectedInARow > maxRejectedInARow || r.Status == BadCall) && now.Mono >= s.avoidUntil {
+		s.avoid(now.Mono) // Once for all starts of one plan.
 	}
 	switch r.Status {
 	case OK:
