dispatch: a worker is called before it has work only once a registration has not answered

Cause: asked all workers for an answer, although only registrations that do not answer make that necessary.

Change: a worker that has not been called is probed when work is placed on it, as before. Once a registration has left its first call unanswered, only workers that have answered get work, and all others are called at once.

--- a/internal/dispatch/foreign_test.go
+++ b/internal/dispatch/foreign_test.go
@@ -51,28 +51,37 @@
 	)
 
 	// Guards against work that waits until each such entry has been tried, and against zones that are taken for cut off for good.
-	DescribeTable("that name a configured pool and do not answer keep no work from the workers for long", func(entries int, newLeader bool) {
+	DescribeTable("that name a configured pool and do not answer keep no work from the workers for long", func(entries int, called, newLeader bool) {
 		w := newWorld(1, 6)
-		w.addEntries(entries, "pool")
+		complete := func(id domain.JobID, tasks int) {
+			w.submit(domain.JobSpec{ID: id, Payload: "work=500", Steps: []domain.Step{step(tasks, 8)}})
+			w.run(w.now + 2*time.Second)
+			Expect(w.state(id)).To(Equal(domain.JobCompleted))
+		}
 		w.run(time.Second)
+		if called {
+			complete("all", 6)
+		}
+		w.addEntries(entries, "pool")
+		w.run(w.now + time.Second)
 		if newLeader {
 			w.elect()
-			w.run(20 * time.Second)
+			w.run(w.now + 20*time.Second)
 		}
 		for i := range 3 {
-			id := domain.JobID(fmt.Sprint("j", i))
-			w.submit(domain.JobSpec{ID: id, Payload: "work=500", Steps: []domain.Step{step(2, 1)}})
-			w.run(w.now + 2*time.Second)
-			Expect(w.state(id)).To(Equal(domain.JobCompleted))
+			complete(domain.JobID(fmt.Sprint("j", i)), 2)
 		}
 		w.addWorker("new", 7)
 		w.run(w.now + time.Second)
 		Expect(w.calls).To(ContainElement(HaveField("Worker.ID", "new")), "a new worker is asked at once")
 	},
-		Entry("9 of them", 9, false),
-		Entry("9 of them, after a change of the leader", 9, true),
-		Entry("1,000 of them", 1000, false),
-		Entry("1,000 of them, after a change of the leader", 1000, true),
+		Entry("9 of them, the workers were not called before", 9, false, false),
+		Entry("9 of them, the workers were called", 9, true, false),
+		Entry("9 of them, after a change of the leader", 9, true, true),
+		Entry("1,000 of them, the workers were not called before", 1000, false, false),
+		Entry("1,000 of them, the workers were called", 1000, true, false),
+		Entry("1,000 of them, the workers were not called before, after a change of the leader", 1000, false, true),
+		Entry("1,000 of them, after a change of the leader", 1000, true, true),
 	)
 
 	// Guards against entries of a pool that a configuration has dropped, which would stay as long as somebody reports them.
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -33,15 +33,23 @@
 
 // watchHolds notes all sessions, for what becomes due by the passing of time alone, and counts the busy workers.
 func (l *Leader) watchHolds() {
-	l.busyWorkers, l.contactsRepeated = 0, 0
+	l.busyWorkers, l.contactsRepeated, l.neverAnswered = 0, 0, 0
 	for _, s := range l.sessions {
 		l.mayNeedHold(s)
+		if !s.everAnswered && s.failures > 0 {
+			l.neverAnswered++
+		}
 		if w := l.state.Worker(s.incarnation.ID); w != nil && len(w.Attempts()) > 0 {
 			l.busyWorkers++
 		}
 	}
 }
 
+// trusted tells whether work may be placed on a worker as far as its answers go. A worker that has not been called yet is
+// probed when work is placed on it. Once a registration has left its first call unanswered, only workers that have answered get
+// work, and all others are called: there may be many such registrations, and work cannot wait for a probe of each.
+func (l *Leader) trusted(s *session) bool { return s.everAnswered || l.neverAnswered == 0 }
+
 // sendHolds keeps one hold in flight to each worker with attempts, acknowledges the last ends of the other workers, and
 // probes those that have not been heard from or have left calls unanswered.
 func (l *Leader) sendHolds(now Time) {
@@ -95,8 +103,8 @@
 		l.sendHold(now, w, s, 0)
 	case s.holdsInFlight > 0 || now.Mono < s.nextHoldAt:
 		return false
-	case !busy && (s.needsClock() || s.unfenced || !s.everAnswered) && s.failures == 0:
-		l.sendHold(now, w, s, 0) // It gets work only after an answer, which also contains its clock.
+	case !busy && (s.needsClock() || s.unfenced || !l.trusted(s)) && s.failures == 0:
+		l.sendHold(now, w, s, 0) // The answer contains the clock, so a new leader need not wait for the worker's report.
 	case busy && (!s.hasClock() || s.unfenced):
 		l.sendHold(now, w, s, 0)
 	case busy && s.refusedAt > 0: // Its lease may be about to end, and is extended again once it lists.
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -63,6 +63,7 @@
 	leaving          map[*session]struct{} // Sessions of workers that have announced their end.
 	contactsInFlight int                   // Holds in flight to workers that have not answered yet.
 	contactsRepeated int                   // Repeated ones that were sent since the last watch.
+	neverAnswered    int                   // Sessions that have left all calls unanswered, as counted at the last watch.
 	busyWorkers      int                   // Workers with attempts, as counted at the last watch.
 	holdsInFlight    map[string]int        // Holds in flight by worker, also those meant for an earlier incarnation.
 	// leaseEnds holds when the leases of workers are over whose sessions were dropped. A worker that was forgotten may
