corehost: a job that is being committed counts once, and is not refused to a caller who repeats the call

What callers saw: nothing yet.

Cause: what is being committed was counted by the calls that wait, not by the proposals that are not applied yet, and without their jobs.

Change: pending proposals carry the bytes that they add, and the job of a submission; such a job is answered as unclear.

Evidence: the spec of the repeated call failed before, and passes.

--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -100,8 +100,6 @@
 	lastVoterCheck   time.Duration
 	knownHosts       []string // Addresses of the core hosts that are known here.
 	stopping         bool
-	registering      int // Bytes of registrations that are being committed.
-	submitting       int // Bytes of jobs that are being committed.
 	jobsWereFull     bool
 	// registrationsFull tells whether the last change of a registration found no room, see maxRegistrations.
 	registrationsFull bool
@@ -118,6 +116,10 @@
 type pendingProposal struct {
 	term   uint64
 	result chan proposalResult
+	job    domain.JobID // Submissions: the job.
+	// What the state will grow by once it is applied.
+	jobBytes          int
+	registrationBytes int
 }
 
 type proposalResult struct {
--- a/internal/corehost/jobs_full_test.go
+++ b/internal/corehost/jobs_full_test.go
@@ -67,6 +67,20 @@
 		Entry("with many steps", domain.JobSpec{Steps: twentySteps()}),
 	)
 
+	// Guards against a job that runs although each call that handed it in was rejected.
+	It("that are being committed are not refused to a caller who repeats the call", func(ctx SpecContext) {
+		h := start(ctx)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		spec := domain.JobSpec{Steps: []domain.Step{{Count: 1}}}
+		h.pendingProposals[1<<40] = pendingProposal{result: make(chan proposalResult, 1), job: "0000000000000001", jobBytes: room}
+		for id, want := range map[string]service.Verdict{"0000000000000001": service.Unknown, "0000000000000002": service.Overloaded} {
+			a, change := h.decide(h.now(), service.Request{Kind: service.Submit, Queue: "q", Job: id, Document: &spec})
+			Expect(change).To(BeNil())
+			Expect(a.Verdict).To(Equal(want))
+		}
+	})
+
 	It("are counted alike by a host that restores a snapshot", func(ctx SpecContext) {
 		h := start(ctx)
 		scheduled := domain.JobSpec{Payload: "x", Steps: []domain.Step{{Count: 3}, {Count: 2, DependsOn: []int{0}}}, RepeatCount: 5, StartAtMS: 1, IntervalMS: 1}
--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -114,14 +114,23 @@
 // and a small share of the smallest memory (280 MB).
 const maxRegistrations = 4 << 20
 
-// storeRegistration commits a report that changes a registration, unless there is no room for what it adds. The caller holds
-// h.mu.
-func (h *Host) storeRegistration(ctx context.Context, now dispatch.Time, old, w *domain.Worker) service.Result {
+// registrationGrowth returns how many bytes a report adds to the registrations.
+func (h *Host) registrationGrowth(w *domain.Worker) int {
 	growth := w.RegistrationBytes()
-	if old != nil {
+	if old := h.stateMachine.Worker(w.Incarnation.ID); old != nil {
 		growth -= old.RegistrationBytes()
 	}
-	bytes := h.stateMachine.RegistrationBytes() + h.registering
+	return growth
+}
+
+// storeRegistration commits a report that changes a registration, unless there is no room for what it adds. The caller holds
+// h.mu.
+func (h *Host) storeRegistration(ctx context.Context, now dispatch.Time, w *domain.Worker) service.Result {
+	bytes := h.stateMachine.RegistrationBytes()
+	for _, p := range h.pendingProposals {
+		bytes += p.registrationBytes
+	}
+	growth := h.registrationGrowth(w)
 	full := growth > 0 && bytes+growth > maxRegistrations
 	if full != h.registrationsFull {
 		h.registrationsFull = full
@@ -130,10 +139,7 @@
 	if full {
 		return service.Result{Outcome: service.NotServing}
 	}
-	h.registering += growth
-	r := h.commitOperation(ctx, now, &domain.Command{Register: w})
-	h.registering -= growth
-	return r
+	return h.commitOperation(ctx, now, &domain.Command{Register: w})
 }
 
 // noteReport tells the leader of a report of a registered worker. The caller holds h.mu.
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -38,6 +38,12 @@
 		return proposalUnknown
 	}
 	w := pendingProposal{term: term, result: make(chan proposalResult, 1)}
+	if c.Submit != nil {
+		w.job, w.jobBytes = c.Submit.ID, c.Submit.Bytes()
+	}
+	if c.Register != nil {
+		w.registrationBytes = h.registrationGrowth(c.Register)
+	}
 	h.pendingProposals[index] = w
 	if err := h.processOutput(now); err != nil {
 		return proposalUnknown
@@ -98,13 +104,7 @@
 	}
 	a, change := h.decide(now, req)
 	if change != nil {
-		size := 0
-		if change.Submit != nil {
-			size = change.Submit.Bytes()
-		}
-		h.submitting += size
 		a = h.commitChange(ctx, now, change, a)
-		h.submitting -= size
 	}
 	h.metrics.call(req.Kind, a.Verdict)
 	h.logCall(req, a, change)
@@ -150,14 +150,30 @@
 		return service.Answer{Verdict: service.NotLeader}, nil
 	}
 	if change != nil && change.Submit != nil && h.jobsFull(change.Submit) {
+		if h.submitting(change.Submit.ID) {
+			return service.Answer{Verdict: service.Unknown}, nil // An earlier call for the same job may yet be stored.
+		}
 		return service.Answer{Verdict: service.Overloaded}, nil
 	}
 	return a, change
 }
 
+// submitting reports whether a submission of a job is being committed.
+func (h *Host) submitting(id domain.JobID) bool {
+	for _, w := range h.pendingProposals {
+		if w.job == id {
+			return true
+		}
+	}
+	return false
+}
+
 // jobsFull reports whether there is no room for another job, see Settings.JobBytes.
 func (h *Host) jobsFull(s *domain.JobSpec) bool {
-	bytes := h.stateMachine.JobBytes() + h.submitting
+	bytes := h.stateMachine.JobBytes()
+	for _, w := range h.pendingProposals {
+		bytes += w.jobBytes
+	}
 	full := h.settings.JobBytes > 0 && bytes+s.Bytes() > h.settings.JobBytes
 	if full != h.jobsWereFull {
 		h.jobsWereFull = full
@@ -278,7 +294,7 @@
 		op.Worker.Draining = true
 	}
 	if !h.stateMachine.Registered(op.Worker) {
-		r = h.storeRegistration(ctx, now, old, op.Worker)
+		r = h.storeRegistration(ctx, now, op.Worker)
 	}
 	h.noteReport(now, op.Worker, op.ClockMS)
 	return r
