--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -110,8 +110,7 @@
 	return service.Result{Outcome: service.Done, Document: outcomes}
 }
 
-// maxRegistrations is how many bytes the registrations of all workers may take together: ten times what 1,100 workers take,
-// and a small share of the smallest memory (280 MB).
+// maxRegistrations is how many bytes the registrations of all workers may take together, a small share of a host's memory.
 const maxRegistrations = 4 << 20
 
 // registrationGrowth returns how many bytes a report adds to the registrations.
