eventlog: closing the log is no data race with lines that are being written

Cause: a line after the close was sent to a closed channel, and the panic was recovered: harmless as it is done today, but a race.

Change: a lock, and lines after the close are dropped without a panic.

Evidence: the new spec shows the race before, and passes with the race detector.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -29,7 +29,9 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	flushed chan struct{}
-	closing sync.Once
+
+	mu     sync.RWMutex
+	closed bool // lines is closed; nothing may be sent to it.
 }
 
 // New returns a log that writes to w. The attributes are added to each line.
@@ -64,7 +66,12 @@
 
 // Close ends the log and waits up to flushTimeout until the queued lines are written. Later lines are dropped.
 func (l *Log) Close() {
-	l.closing.Do(func() { close(l.lines) })
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.lines)
+	}
+	l.mu.Unlock()
 	select {
 	case <-l.flushed:
 	case <-time.After(flushTimeout):
@@ -75,7 +82,11 @@
 type queueWriter struct{ log *Log }
 
 func (q queueWriter) Write(line []byte) (int, error) {
-	defer func() { _ = recover() }() // After Close, the send panics, since the channel is closed; the line is dropped.
+	q.log.mu.RLock()
+	defer q.log.mu.RUnlock()
+	if q.log.closed {
+		return len(line), nil // A request may still be in progress when the process ends.
+	}
 	select {
 	case q.log.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -57,6 +57,27 @@
 		Expect(strings.Count(g.String(), "event=event\n")).To(BeNumerically("<", 5000))
 	})
 
+	// Guards against a data race between the end of the process and a request that is still in progress.
+	It("may be closed while lines are written, which are dropped then", func() {
+		g := &gatedWriter{open: make(chan struct{})}
+		close(g.open)
+		l := eventlog.New(g)
+		var writers sync.WaitGroup
+		for range 8 {
+			writers.Go(func() {
+				for range 200 {
+					l.Logger.Info("event")
+				}
+			})
+		}
+		l.Close()
+		writers.Wait()
+		l.Close()
+		written := strings.Count(g.String(), "event=event\n")
+		l.Logger.Info("event")
+		Consistently(g.String, 50*time.Millisecond).Should(WithTransform(func(s string) int { return strings.Count(s, "event=event\n") }, Equal(written)))
+	})
+
 	It("writes texts from outside in one line, escaped, and cuts long ones", func() {
 		g := &gatedWriter{open: make(chan struct{})}
 		close(g.open)
