--- a/review/harness-2/cluster.go
+++ b/review/harness-2/cluster.go
@@ -30,6 +30,7 @@
 	netCore = iota + 1
 	netEntry
 	netWorker
+	netProcess // Where core processes listen for other machines, if their connections are forwarded.
 )
 
 const coreCount = 3
@@ -40,7 +41,8 @@
 	folder  string // Temporary: settings, data and logs.
 	block   int    // Second byte of all addresses.
 	entries int
-	advice  string // Address of the advice service, empty for none.
+	// forwarded tells that the connections to the core machines' ports for other machines are forwarded, see links.
+	forwarded bool
 
 	mu        sync.Mutex
 	processes []*process
@@ -89,6 +91,7 @@
 		for _, p := range []int{portPeers, portMetrics, portControl} {
 			wanted = append(wanted, c.address(netCore, i, p))
 		}
+		wanted = append(wanted, c.address(netProcess, i, portPeers))
 	}
 	for i := range c.entries {
 		for _, p := range []int{portPeers, portMetrics, portFront, portReady} {
@@ -167,8 +170,7 @@
 	fmt.Fprintf(b, "port_range = [%d,%d]\nseeds = [%s]\nbootstrap = %v\nloss_counts = %v\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1500\n",
 		portPeers, portPeers+15, strings.Join(seeds, ","), first, role == "core")
 	b.WriteString("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"tenants\",\"places\",\"advice\",\"upkeep\",\"sharing\"]\n" +
-		"config_mode = \"highest\"\norders = \"call\"\n")
-	fmt.Fprintf(b, "advice = %q\n", c.advice)
+		"config_mode = \"highest\"\norders = \"call\"\nadvice = \"\"\n")
 	if role == "core" {
 		fmt.Fprintf(b, "data_dir = %q\n", filepath.Join(c.folder, fmt.Sprintf("core-%d", i+1)))
 	}
@@ -201,6 +203,9 @@
 		}
 		name := fmt.Sprintf("%s-%d", role, k+1)
 		p := &process{name: name, ip: c.ip(network, k), command: commands[role], settings: filepath.Join(c.folder, name+".toml")}
+		if c.forwarded && role == "core" {
+			p.command = append(append([]string{}, p.command...), "--peer-listen="+c.address(netProcess, k, portPeers))
+		}
 		p.bootFile = func(first bool) error { return os.WriteFile(p.settings, []byte(c.settingsText(role, k, first)), 0o600) }
 		var err error
 		if p.log, err = os.Create(filepath.Join(c.folder, name+".log")); err != nil {
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -31,10 +31,13 @@
 }
 
 var scenarios = map[string]scenario{
-	"gang":    {14, gangFailsAtOnce},
-	"lasting": {4, lastingFailAtOnce},
-	"waiting": {7, unhealthyWorker},
-	"sweeps":  {6, sweeps},
+	"gang":      {14, gangFailsAtOnce},
+	"lasting":   {4, lastingFailAtOnce},
+	"waiting":   {7, unhealthyWorker},
+	"sweeps":    {6, sweeps},
+	"stale":     {9, staleEvacuation},
+	"abandoned": {6, abandoned},
+	"withheld":  {10, withheld},
 }
 
 func main() {
