--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -38,6 +38,7 @@
 	"stale":     {9, staleEvacuation},
 	"abandoned": {6, abandoned},
 	"withheld":  {10, withheld},
+	"services":  {8, services},
 }
 
 func main() {
