--- a/review/harness-2/cluster.go
+++ b/review/harness-2/cluster.go
@@ -227,6 +227,7 @@
 	}
 	cmd := exec.Command(p.command[0], p.command[1:]...)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // It ends with this process, also if that is killed.
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + c.folder, "LANG=C", "MUSTARDWALK_CONFIG=" + p.settings}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/harness-2/returned.go
+++ b/review/harness-2/returned.go
@@ -90,6 +90,14 @@
 	follower := (leader + 1) % coreCount
 	other := (leader + 2) % coreCount
 	c.record.say("%s leads; %s is the machine to be cut off", coreName(leader), coreName(follower))
+	var reads sync.WaitGroup
+	for range 4 { // Operators also read the configuration during the day, at any machine.
+		reads.Go(func() {
+			status, _ := request(ctx, "GET", "http://"+c.address(netCore, follower, portControl)+"/config", "", nil, nil, time.Second)
+			c.record.write("operator: GET /config at %s -> %d", coreName(follower), status)
+		})
+	}
+	reads.Wait()
 	began := time.Now()
 	if trouble {
 		n.cut(coreName(follower))
