--- a/review/harness-2/sweeps.go
+++ b/review/harness-2/sweeps.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// sweeps hands in large jobs at once, whose steps run many times and are all due. Afterwards all jobs are asked for.
+// sweeps hands in large jobs, whose steps run many times, all due at the same time. Afterwards the jobs of another tenant are asked
+// for.
 func sweeps(ctx context.Context, c *cluster, trouble bool) (string, error) {
 	const (
 		large      = 40
@@ -19,6 +20,8 @@
 		askFor     = 40 * time.Second // Far more than a client's first try and its 4 retries, of clientBudget each, take.
 		ordinary   = 4
 		burstFor   = 6 * time.Second
+		pause      = 140 * time.Millisecond // About 2.4 times the traffic of the site.
+		dueIn      = 7 * time.Second        // After the burst began.
 		tenantWork = 2 * time.Second
 	)
 	if err := c.start(); err != nil {
@@ -64,12 +67,12 @@
 		burst, over := context.WithTimeout(ctx, burstFor)
 		defer over()
 		for range large {
-			body := map[string]any{"spec": "sweep", "repeat_count": times, "start_at_ms": time.Now().UnixMilli(), "steps": []any{step}}
+			body := map[string]any{"spec": "sweep", "repeat_count": times, "start_at_ms": began.Add(dueIn).UnixMilli(), "steps": []any{step}}
 			if _, err := c.submit(burst, "/pule252/", newID(), key(0), body); err != nil {
 				break // The burst is over; a job that was not accepted counts for nothing.
 			}
 			accepted++
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(pause)
 		}
 		c.record.say("%d jobs of another tenant, whose step runs %d times, are accepted within %.1f s", accepted, times, time.Since(began).Seconds())
 	}
