domain: a failed run of a gang counts once, however many of its members fail

Cause: each member's end arrives in a command of its own, and failTask added one failure for each, whatever its run. Where one member fails first the others end as broken, which does not count; members that fail at the same moment all counted.

Change: the first task of a gang stores the newest run that was counted.

--- a/internal/domain/apply_attempt.go
+++ b/internal/domain/apply_attempt.go
@@ -109,7 +109,7 @@
 	}
 	w.Cursor = max(w.Cursor, e.Cursor)
 	for _, x := range e.Ends {
-		m.endAttempt(e.Worker, x, at)
+		m.endAttempt(e.Worker, x, e.OncePerRun, at)
 	}
 	return Applied
 }
@@ -126,8 +126,8 @@
 		(x.Outcome == OutcomeDone && slices.Contains(t.LostAttempts, x.Attempt)))
 }
 
-// endAttempt records the end of one attempt on a worker.
-func (m *StateMachine) endAttempt(incarnation WorkerIncarnation, x AttemptEnd, at int64) {
+// endAttempt records the end of one attempt on a worker. For oncePerRun see EndAttempts.
+func (m *StateMachine) endAttempt(incarnation WorkerIncarnation, x AttemptEnd, oncePerRun bool, at int64) {
 	j := m.state.Jobs[x.Task.Job]
 	if j == nil {
 		return
@@ -158,7 +158,7 @@
 		m.finishTask(j, x.Task)
 		m.completeIfDone(j, x.Task.Occurrence, at)
 	case OutcomeFailed:
-		m.failTask(j, x.Task, incarnation.ID, at)
+		m.failTask(j, x, incarnation.ID, oncePerRun, at)
 	}
 }
 
@@ -232,17 +232,23 @@
 
 // failTask counts a failed attempt. The job fails when a task, or a gang as a whole, has failed MaxAttempts times.
 // Long-running tasks have no such limit.
-func (m *StateMachine) failTask(j *Job, id TaskID, worker string, at int64) {
-	step := &j.Spec.Steps[id.Step]
-	tasks := j.Occurrences[id.Occurrence].Steps[id.Step]
-	holder := &tasks[id.Index]
+func (m *StateMachine) failTask(j *Job, x AttemptEnd, worker string, oncePerRun bool, at int64) {
+	step := &j.Spec.Steps[x.Task.Step]
+	tasks := j.Occurrences[x.Task.Occurrence].Steps[x.Task.Step]
+	holder := &tasks[x.Task.Index]
 	if step.Gang {
 		holder = &tasks[0]
 	}
-	holder.Failures++
 	if !slices.Contains(holder.FailedOn, worker) && len(holder.FailedOn) < maxFailedOn {
 		holder.FailedOn = append(holder.FailedOn, worker)
 	}
+	if step.Gang && oncePerRun {
+		if holder.FailedRun == x.Attempt {
+			return
+		}
+		holder.FailedRun = x.Attempt
+	}
+	holder.Failures++
 	if !step.LongRunning && holder.Failures >= j.Spec.MaxAttempts {
 		m.endJob(j, JobFailed, at)
 	}
--- a/internal/domain/command.go
+++ b/internal/domain/command.go
@@ -65,6 +65,9 @@
 	Worker WorkerIncarnation `cbor:"1,keyasint"`
 	Cursor int64             `cbor:"2,keyasint,omitempty"`
 	Ends   []AttemptEnd      `cbor:"3,keyasint,omitempty"`
+	// OncePerRun counts a failed run of a gang once. Entries of earlier versions lack it: each of their failed members counts,
+	// as it did on the hosts whose snapshots include them.
+	OncePerRun bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ReleaseOccurrences makes further occurrences of a scheduled job due, until Count of them are.
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -46,7 +46,9 @@
 }
 
 func (f *fixture) end(id domain.TaskID, attempt int, outcome domain.Outcome, checkpoint string) {
-	f.do(domain.Command{End: &domain.EndAttempts{Worker: f.incarnation, Ends: []domain.AttemptEnd{{Task: id, Attempt: attempt, Outcome: outcome, Checkpoint: checkpoint}}}})
+	f.do(domain.Command{End: &domain.EndAttempts{
+		Worker: f.incarnation, Ends: []domain.AttemptEnd{{Task: id, Attempt: attempt, Outcome: outcome, Checkpoint: checkpoint}}, OncePerRun: true,
+	}})
 }
 
 func id(job string, index int) domain.TaskID {
@@ -165,6 +167,55 @@
 		Entry("lost", domain.OutcomeLost, domain.JobRunning),
 	)
 
+	DescribeTable("counts a failed run of a gang once, however many of its members fail", func(between func(f *fixture)) {
+		// Guards against giving a job up before its gang has failed MaxAttempts times: members that failed together, as after
+		// the failure of something they share, counted once each.
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "g", MaxAttempts: 2, Steps: []domain.Step{{Count: 3, Gang: true}}})
+		for run := 1; run <= 2; run++ {
+			Expect(f.start(id("g", 0), id("g", 1), id("g", 2))).To(Equal(domain.Applied), "run %d", run)
+			for _, i := range []int{1, 2, 0} {
+				f.end(id("g", i), run, domain.OutcomeFailed, "")
+				between(f)
+			}
+		}
+		Expect(f.Job("g").State).To(Equal(domain.JobFailed))
+		Expect(f.Job("g").Task(id("g", 0)).Failures).To(Equal(2))
+	},
+		Entry("in commands of their own", func(*fixture) {}),
+		Entry("with a snapshot between their ends", func(f *fixture) {
+			restored := domain.New()
+			Expect(restored.Restore(f.Snapshot())).To(Succeed())
+			f.StateMachine = restored
+		}),
+	)
+
+	It("counts a failed run of a gang also after runs that failed alone or were lost", func() {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "g", MaxAttempts: 3, Steps: []domain.Step{{Count: 2, Gang: true}}})
+		for run, ends := range [][]domain.Outcome{
+			{domain.OutcomeFailed, domain.OutcomeGangBroken}, {domain.OutcomeLost, domain.OutcomeLost}, {domain.OutcomeLost, domain.OutcomeFailed},
+		} {
+			f.start(id("g", 0), id("g", 1))
+			f.end(id("g", 0), run+1, ends[0], "")
+			f.end(id("g", 1), run+1, ends[1], "")
+		}
+		Expect(f.Job("g").Task(id("g", 0)).Failures).To(Equal(2))
+		Expect(f.Job("g").State).To(Equal(domain.JobRunning))
+	})
+
+	It("applies the ends of a gang of an earlier version as the hosts of that version did", func() {
+		// Guards against hosts that hold different states because one read a snapshot of that version and another its log.
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "g", MaxAttempts: 2, Steps: []domain.Step{{Count: 2, Gang: true}}})
+		f.start(id("g", 0), id("g", 1))
+		f.do(domain.Command{End: &domain.EndAttempts{Worker: f.incarnation, Ends: []domain.AttemptEnd{
+			{Task: id("g", 0), Attempt: 1, Outcome: domain.OutcomeFailed}, {Task: id("g", 1), Attempt: 1, Outcome: domain.OutcomeFailed},
+		}}})
+		Expect(f.Job("g").State).To(Equal(domain.JobFailed))
+		Expect(f.Job("g").Task(id("g", 0)).FailedRun).To(BeZero(), "snapshots of that version lack it")
+	})
+
 	It("accepts a task as done if its attempt is listed as done after it was recorded as lost", func() {
 		// Guards against acknowledging and ignoring such an end: the task ran again, and the steps that depend on it
 		// waited.
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -218,6 +218,9 @@
 	Checkpoint string            `cbor:"4,keyasint,omitempty"` // Newest known checkpoint; of a gang in its first task.
 	Failures   int               `cbor:"5,keyasint,omitempty"` // Attempts with OutcomeFailed; of a gang in its first task.
 	StartedMS  int64             `cbor:"6,keyasint,omitempty"` // When the newest attempt was committed, Unix milliseconds.
+	// FailedRun is the newest attempt of a gang that is counted in Failures; set in the first task. Members that fail in the
+	// same run are reported one by one.
+	FailedRun int `cbor:"11,keyasint,omitempty"`
 	// FailedOn lists the workers on which attempts failed; of a gang in its first task.
 	FailedOn []string `cbor:"7,keyasint,omitempty"`
 	// StopCheckpointAttempt is the newest attempt of which a stop has made a checkpoint, 0 for none. No periodic
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -3,9 +3,10 @@
 // in.
 //
 // The payload of an attempt says what the attempt does. It is a list of key=value pairs: work=MS, fail=true (ends as
-// failed), hang=true (makes no progress), gang=N (members that must be present), serve=MS (serves requests and never
-// ends; MS is its tail latency without best-effort work on the worker), fill=true (best-effort work, which lengthens
-// the tail latency of the serving attempts on its worker).
+// failed), fail_runs=N (the attempts up to number N end as failed, all members of a gang together), hang=true (makes no
+// progress), gang=N (members that must be present), serve=MS (serves requests and never ends; MS is its tail latency
+// without best-effort work on the worker), fill=true (best-effort work, which lengthens the tail latency of the serving
+// attempts on its worker).
 package simworker
 
 import (
@@ -29,6 +30,7 @@
 type Program struct {
 	Work     time.Duration // Run time of an attempt that starts without a checkpoint.
 	Fail     bool
+	FailRuns int // Highest number of an attempt that ends as failed, together with the other members of its gang.
 	Hang     bool
 	GangSize int
 	// TailMS is the tail latency of a serving task, 0 for other tasks.
@@ -47,6 +49,8 @@
 			p.Work = time.Duration(n) * time.Millisecond
 		case "fail":
 			p.Fail = value == "true"
+		case "fail_runs":
+			p.FailRuns = n
 		case "hang":
 			p.Hang = value == "true"
 		case "serve":
@@ -179,7 +183,7 @@
 		if now-a.started >= GangWait {
 			w.end(now, a, domain.OutcomeGangTimeout)
 		}
-	case a.program.Fail || w.FailAttempts:
+	case a.program.Fail || w.FailAttempts || a.failsTogether():
 		w.end(now, a, domain.OutcomeFailed)
 	case a.program.Hang || w.StallAttempts || a.program.TailMS > 0:
 	case a.restored+now-a.workBegan >= a.program.Work:
@@ -187,6 +191,9 @@
 	}
 }
 
+// failsTogether tells whether the attempt is to fail together with the other members of its gang.
+func (a *attempt) failsTogether() bool { return a.number <= a.program.FailRuns }
+
 func (a *attempt) key() gangKey {
 	return gangKey{a.task.Job, a.task.Occurrence, a.task.Step, a.number}
 }
@@ -389,8 +396,8 @@
 	}
 	g.ended = true
 	others := domain.OutcomeGangBroken
-	if outcome == domain.OutcomeDone {
-		others = domain.OutcomeDone
+	if outcome == domain.OutcomeDone || (outcome == domain.OutcomeFailed && a.failsTogether()) {
+		others = outcome
 	}
 	for _, m := range g.members {
 		if m != a && m.worker.running[m.task] == m {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,6 +26,14 @@
 // queues are the queues of each configuration: jobs of the first may preempt those of the second.
 var queues = []fleet.QueueRoute{{Prefix: "/p/", Priority: 0, Attempts: 20}, {Prefix: "/q/", Priority: 1, Attempts: 20}}
 
+// Jobs whose gang fails as a whole before it completes. Their queue allows one failed run more.
+var failingQueue = fleet.QueueRoute{Prefix: "/f/", Priority: 1, Attempts: failedRuns + 1}
+
+const (
+	failedRuns   = 2
+	failingShare = 0.3 // Of the gangs.
+)
+
 // Numbers and periods of callers and operators.
 const (
 	callers        = 20 // Each keeps its connection until the host closes it or leaves a request unanswered.
@@ -70,6 +78,7 @@
 // submitJobs submits jobs until ctx ends, and waits until all callers are done with theirs.
 func (c *checker) submitJobs(ctx context.Context) {
 	random := rand.New(rand.NewPCG(c.parent.options.Seed, 11))
+	failing := rand.New(rand.NewPCG(c.parent.options.Seed, 12))
 	period := between(random, fastestArrival, slowestArrival)
 	var list []*caller
 	for i := range callers {
@@ -84,11 +93,20 @@
 		if random.Float64() < longShare {
 			work = between(random, usualWork, longestWork)
 		}
-		body := fleet.JobBody(fmt.Sprintf("work=%d gang=%d", work.Milliseconds(), tasks), fleet.Step{
+		payload := fmt.Sprintf("work=%d gang=%d", work.Milliseconds(), tasks)
+		fails := c.parent.options.GangFailures && tasks > 1 && failing.Float64() < failingShare
+		if fails {
+			payload += fmt.Sprintf(" fail_runs=%d", failedRuns)
+		}
+		body := fleet.JobBody(payload, fleet.Step{
 			"count": tasks, "cpu": demand.CPU, "mem_mb": demand.MemoryMB, "gpus": demand.Accelerators, "gang": tasks > 1, "est_runtime_ms": 1500,
 			"checkpointable": random.IntN(2) == 0,
 		})
-		path := queues[min(1, random.IntN(3))].Prefix + string(id)
+		prefix := queues[min(1, random.IntN(3))].Prefix
+		if fails {
+			prefix = failingQueue.Prefix
+		}
+		path := prefix + string(id)
 		cancelIn := time.Duration(0)
 		if random.Float64() < cancelShare {
 			cancelIn = between(random, time.Millisecond, cancelAfter)
@@ -192,7 +210,7 @@
 }
 
 func configBody(version int64) []byte {
-	return fleet.ConfigBody(version, hostName, service, append(slices.Clone(queues), extraQueue(version)), apiKey)
+	return fleet.ConfigBody(version, hostName, service, append(slices.Clone(queues), failingQueue, extraQueue(version)), apiKey)
 }
 
 // sendConfig sends a configuration until it is acknowledged or ctx ends.
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -31,6 +31,7 @@
 	kingpin.Flag("workers", "Workers of a run; 0 for a number that the seed determines.").Default("0").IntVar(&options.Workers)
 	kingpin.Flag("without", "Kind of fault that is not injected; may be repeated.").StringsVar(&options.Without)
 	kingpin.Flag("malformed", "Send malformed input during the faults.").Default("true").BoolVar(&options.Malformed)
+	kingpin.Flag("gang-failures", "Let all members of some gangs fail at once.").Default("true").BoolVar(&options.GangFailures)
 	only := kingpin.Flag("only", "Kind of fault that is injected, instead of all; may be repeated.").Strings()
 	kingpin.Parse()
 	if len(*only) > 0 {
--- a/soak/run.go
+++ b/soak/run.go
@@ -31,6 +31,7 @@
 	Workers         int           // At most 200; 0 for a small number that the seed determines.
 	Without         []string      // Kinds of faults that are not injected.
 	Malformed       bool          // Malformed input is sent to all hosts during the faults.
+	GangFailures    bool          // All members of some gangs fail at once, in fewer runs than their queue allows.
 }
 
 // hostPorts are below the range from which the system picks ports, so that they are free while a host or a worker is down.
