corehost, domain: an order for a zone that was held up is not executed after a later one

Cause: the call by which a core host passes an order on may arrive long after it was given up, and the leader carried out what arrived. An order named nothing that tells its place among the others.

Change: the state counts the executed orders. The host that received an order reads the count from the leader and sends the order with it; the log executes it only if the count is still the same. An order that is superseded while its caller waits is sent again.

--- a/internal/corehost/apply.go
+++ b/internal/corehost/apply.go
@@ -155,7 +155,8 @@
 		}
 		h.log.Info("config_applied", "version", c.Config.Version, "changed", r == domain.Applied, "index", index)
 	case c.Zone != nil:
-		h.log.Info("zone_applied", "zone", c.Zone.Zone, "out", c.Zone.Out, "changed", r == domain.Applied, "index", index)
+		h.log.Info("zone_applied", "zone", c.Zone.Zone, "out", c.Zone.Out, "changed", r == domain.Applied, "superseded", r == domain.Superseded,
+			"revision", c.Zone.Revision, "index", index)
 	case c.Wave != nil:
 		h.log.Info("wave_applied", "wave", c.Wave.Number, "machines", len(c.Wave.Machines), "max_down", c.Wave.MaxDown,
 			"within_ms", c.Wave.WithinMS, "changed", r == domain.Applied, "index", index)
--- a/internal/corehost/forward.go
+++ b/internal/corehost/forward.go
@@ -37,6 +37,38 @@
 
 // Operate executes an operation here or on the leader.
 func (f *Forwarder) Operate(ctx context.Context, op service.Operation) service.Result {
+	switch op.Kind {
+	case service.TakeZoneOut, service.BringZoneIn:
+		return f.orderZone(ctx, op)
+	}
+	return f.send(ctx, op)
+}
+
+// orderZone executes an order for a zone. A call between hosts may arrive long after its sender has given it up, and after later
+// orders of the same operator. So the order names the revision of the zones that the leader had when this host already had
+// the order, and the log executes it only if there was no other order since.
+func (f *Forwarder) orderZone(ctx context.Context, op service.Operation) service.Result {
+	for began := f.host.clock.Now(); ; {
+		current := f.send(ctx, service.Operation{Kind: service.GetZoneRevision})
+		if current.Outcome != service.Done {
+			return service.Result{Outcome: service.NotServing}
+		}
+		// The operator may have sent later orders once it has given this one up. A timer that is due need not have fired yet
+		// when a process continues after it was stopped.
+		if ctx.Err() != nil || f.host.clock.Now()-began > forwardTimeout {
+			return service.Result{Outcome: service.NotServing}
+		}
+		op.ZoneRevision = current.ZoneRevision
+		r := f.send(ctx, op)
+		if r.Outcome != service.Superseded {
+			return r
+		}
+		f.host.log.Info("zone_order_repeated", "kind", op.Kind.String(), "zone", op.Zone, "revision", op.ZoneRevision)
+	}
+}
+
+// send executes an operation here, or sends it to the leader once.
+func (f *Forwarder) send(ctx context.Context, op service.Operation) service.Result {
 	r := f.host.operate(ctx, op)
 	if r.Outcome != service.Redirect {
 		return r
@@ -60,7 +92,7 @@
 	if outcome == service.Redirect {
 		outcome = service.NotServing // The leader has just changed; the caller tries again.
 	}
-	return service.Result{Outcome: outcome, Document: out.Document}
+	return service.Result{Outcome: outcome, Document: out.Document, ZoneRevision: out.ZoneRevision}
 }
 
 // clientFor returns the client for calls to a host.
@@ -76,7 +108,7 @@
 }
 
 func encodeOperation(op service.Operation) (*rpc.OperateRequest, error) {
-	in := &rpc.OperateRequest{Kind: uint32(op.Kind), Name: op.Zone, ClockMs: op.ClockMS}
+	in := &rpc.OperateRequest{Kind: uint32(op.Kind), Name: op.Zone, ClockMs: op.ClockMS, ZoneRevision: op.ZoneRevision}
 	var err error
 	switch {
 	case op.Config != nil:
@@ -92,8 +124,12 @@
 }
 
 func decodeOperation(in *rpc.OperateRequest) (service.Operation, error) {
-	op := service.Operation{Kind: service.OperationKind(in.Kind), Zone: in.Name, ClockMS: in.ClockMs}
+	op := service.Operation{Kind: service.OperationKind(in.Kind), Zone: in.Name, ClockMS: in.ClockMs, ZoneRevision: in.ZoneRevision}
 	switch op.Kind {
+	case service.TakeZoneOut, service.BringZoneIn:
+		if in.ZoneRevision == 0 {
+			return op, eris.New("an order for a zone names no revision")
+		}
 	case service.PutConfig:
 		return op, decodeValue(in.Document, &op.Config)
 	case service.Register, service.Deregister:
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -215,7 +215,7 @@
 		return &rpc.OperateReply{Outcome: uint32(service.NotServing)}, nil
 	}
 	r := h.operate(ctx, op)
-	return &rpc.OperateReply{Outcome: uint32(r.Outcome), Document: r.Document, Leader: r.Leader}, nil
+	return &rpc.OperateReply{Outcome: uint32(r.Outcome), Document: r.Document, Leader: r.Leader, ZoneRevision: r.ZoneRevision}, nil
 }
 
 // operate executes an operation if this host leads, and names the leader otherwise.
@@ -250,8 +250,10 @@
 		}
 		return h.commitOperation(ctx, now, &domain.Command{Config: op.Config})
 	case service.TakeZoneOut, service.BringZoneIn:
-		z := &domain.SetZone{Zone: op.Zone, Out: op.Kind == service.TakeZoneOut}
+		z := &domain.SetZone{Zone: op.Zone, Out: op.Kind == service.TakeZoneOut, Revision: cmp.Or(op.ZoneRevision, h.stateMachine.ZoneRevision())}
 		return h.commitOperation(ctx, now, &domain.Command{Zone: z})
+	case service.GetZoneRevision:
+		return service.Result{Outcome: service.Done, ZoneRevision: h.stateMachine.ZoneRevision()}
 	case service.Register:
 		return h.register(ctx, now, op)
 	case service.RegisterMany:
@@ -281,8 +283,11 @@
 }
 
 func (h *Host) commitOperation(ctx context.Context, now dispatch.Time, c *domain.Command) service.Result {
-	switch outcome, _ := h.propose(ctx, now, c); outcome {
+	switch outcome, effect := h.propose(ctx, now, c); outcome {
 	case proposalCommitted:
+		if effect == domain.Superseded {
+			return service.Result{Outcome: service.Superseded}
+		}
 		return service.Result{Outcome: service.Done}
 	case proposalRefused:
 		return service.Result{Outcome: service.Refused}
--- a/internal/domain/command.go
+++ b/internal/domain/command.go
@@ -26,6 +26,9 @@
 type SetZone struct {
 	Zone string `cbor:"1,keyasint"`
 	Out  bool   `cbor:"2,keyasint,omitempty"`
+	// Revision is the revision of the zones that the order follows. If another order has been executed since, it has no
+	// effect. Entries of earlier versions have none and are always executed.
+	Revision uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // CancelJob cancels a job that has not ended. If the job is not known, its cancellation is stored, for a submission that
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -17,6 +17,7 @@
 	Applied    Result = iota
 	NotChanged        // The command repeats an earlier one, or a later change has made it obsolete.
 	NotFound          // The job, worker or machine that the command names does not exist.
+	Superseded        // The command follows a state that is not the present one.
 )
 
 // StateMachine is the replicated state machine. It is not safe for concurrent use.
@@ -41,6 +42,7 @@
 	Waves    map[int64]*Wave    `cbor:"7,keyasint,omitempty"`
 	// Cancellations of jobs that were not known, by cancellationKey.
 	Cancellations map[string]cancellation `cbor:"8,keyasint,omitempty"`
+	ZoneOrders    uint64                  `cbor:"9,keyasint,omitempty"` // Executed orders for zones that had a revision.
 }
 
 // New returns a state machine with an empty state.
@@ -222,6 +224,12 @@
 }
 
 func (m *StateMachine) applyZone(z *SetZone) Result {
+	if z.Revision != 0 {
+		if z.Revision != m.ZoneRevision() {
+			return Superseded
+		}
+		m.state.ZoneOrders++ // Also for an order that changes nothing: an older one must not be executed after it.
+	}
 	if m.state.ZonesOut[z.Zone] == z.Out {
 		return NotChanged
 	}
@@ -280,6 +288,9 @@
 // ZoneOut reports whether a zone is out of service.
 func (m *StateMachine) ZoneOut(zone string) bool { return m.state.ZonesOut[zone] }
 
+// ZoneRevision returns the revision of the zones, which each executed order for a zone increases. It is never 0.
+func (m *StateMachine) ZoneRevision() uint64 { return m.state.ZoneOrders + 1 }
+
 // ZonesOut returns the zones that are out of service, sorted.
 func (m *StateMachine) ZonesOut() []string {
 	var out []string
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -278,6 +278,25 @@
 		Expect(f.start(second)).To(Equal(domain.Applied))
 	})
 
+	It("executes an order for a zone only if no other order was executed after the revision that it names", func() {
+		// Guards against an order that arrives after later ones and undoes them.
+		f := newFixture()
+		order := func(out bool, revision uint64) domain.Result {
+			return f.do(domain.Command{Zone: &domain.SetZone{Zone: "z", Out: out, Revision: revision}})
+		}
+		seen := f.ZoneRevision()
+		Expect(order(false, seen)).To(Equal(domain.NotChanged), "it is executed, though it changes nothing")
+		Expect(order(true, seen)).To(Equal(domain.Superseded))
+		Expect(order(true, f.ZoneRevision())).To(Equal(domain.Applied))
+		restored := domain.New()
+		Expect(restored.Restore(f.Snapshot())).To(Succeed())
+		f.StateMachine = restored
+		Expect(order(false, seen)).To(Equal(domain.Superseded))
+		Expect(f.ZoneOut("z")).To(BeTrue())
+		Expect(order(false, 0)).To(Equal(domain.Applied), "an entry of an earlier version")
+		Expect(f.ZoneRevision()).To(Equal(seen+2), "which a snapshot of that version does not count")
+	})
+
 	It("starts nothing on a worker that drains, whose zone is out of service, or that is another incarnation", func() {
 		f := newFixture()
 		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -106,9 +106,10 @@
 	StartWave  // An operator's request for the upkeep of a wave of machines.
 	GetWave
 	RegisterMany // Reports of several workers, which another host has received.
+	GetZoneRevision
 )
 
-var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister", "start_wave", "get_wave", "register_many"}
+var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister", "start_wave", "get_wave", "register_many", "get_zone_revision"}
 
 // String returns the name for logs and metrics.
 func (k OperationKind) String() string {
@@ -120,13 +121,15 @@
 
 // Operation is a request of an operator or a worker.
 type Operation struct {
-	Kind    OperationKind
-	Config  *domain.Config // PutConfig.
-	Zone    string         // TakeZoneOut, BringZoneIn.
-	Worker  *domain.Worker // Register, Deregister.
-	Wave    *domain.Wave   // StartWave; GetWave: only Number is set.
-	ClockMS int64          // Register: the worker's clock.
-	Reports []Report       // RegisterMany.
+	Kind   OperationKind
+	Config *domain.Config // PutConfig.
+	Zone   string         // TakeZoneOut, BringZoneIn.
+	// TakeZoneOut, BringZoneIn: the order is only executed if the zones still have this revision; 0 for the present one.
+	ZoneRevision uint64
+	Worker       *domain.Worker // Register, Deregister.
+	Wave         *domain.Wave   // StartWave; GetWave: only Number is set.
+	ClockMS      int64          // Register: the worker's clock.
+	Reports      []Report       // RegisterMany.
 }
 
 // Report is a worker's report about itself.
@@ -146,9 +149,10 @@
 	Redirect   // Not executed: Result.Leader leads.
 	NotFound   // What the operation asks for does not exist.
 	Refused    // Not executed: the operation has a value that cannot be stored.
+	Superseded // Not executed: another order for a zone was executed after Operation.ZoneRevision.
 )
 
-var outcomeNames = [...]string{"unclear", "done", "not_serving", "elsewhere", "missing", "refused"}
+var outcomeNames = [...]string{"unclear", "done", "not_serving", "elsewhere", "missing", "refused", "superseded"}
 
 // String returns the name for logs and metrics.
 func (o Outcome) String() string {
@@ -165,4 +169,6 @@
 	// report, its Outcome.
 	Document []byte
 	Leader   string // Redirect: address of the leader.
+	// GetZoneRevision: the number of the newest order for a zone that was executed.
+	ZoneRevision uint64
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -31,7 +31,7 @@
 
 const (
 	failedRuns   = 2
-	failingShare = 0.3 // Of the gangs.
+	failingShare = 0.1 // Of the gangs.
 )
 
 // Numbers and periods of callers and operators.
--- a/soak/check.go
+++ b/soak/check.go
@@ -26,6 +26,7 @@
 	running       map[domain.TaskID][]simworker.Event                   // Starts of the attempts that run, by task.
 	onWorker      map[domain.WorkerIncarnation]map[simworker.Event]bool // Starts of the attempts that run, by worker.
 	done          map[domain.TaskID][]*doneEnd                          // By doneKey.
+	zonesOut      map[string]bool                                       // The state of each zone as it was acknowledged last.
 	acked         []ackedConfig                                         // Configurations that a host acknowledged.
 }
 
@@ -66,6 +67,7 @@
 	return &checker{
 		parent: parent, jobs: map[domain.JobID]*job{}, running: map[domain.TaskID][]simworker.Event{},
 		onWorker: map[domain.WorkerIncarnation]map[simworker.Event]bool{}, done: map[domain.TaskID][]*doneEnd{},
+		zonesOut: map[string]bool{},
 	}
 }
 
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -33,6 +33,7 @@
 	kingpin.Flag("malformed", "Send malformed input during the faults.").Default("true").BoolVar(&options.Malformed)
 	kingpin.Flag("gang-failures", "Let all members of some gangs fail at once.").Default("true").BoolVar(&options.GangFailures)
 	kingpin.Flag("abandoned", "Let some callers leave without an answer and cancel their jobs.").Default("true").BoolVar(&options.Abandoned)
+	kingpin.Flag("zone-orders", "Take zones without workers out of service and bring them back.").Default("true").BoolVar(&options.ZoneOrders)
 	only := kingpin.Flag("only", "Kind of fault that is injected, instead of all; may be repeated.").Strings()
 	kingpin.Parse()
 	if len(*only) > 0 {
--- a/soak/process.go
+++ b/soak/process.go
@@ -13,7 +13,7 @@
 )
 
 // ports are the ports that all hosts of a run use, each host on an IP address of its own.
-type ports struct{ peers, control, front, ready int }
+type ports struct{ peers, control, front, ready, metrics int }
 
 // process is the process of one host with the proxies in front of it.
 type process struct {
@@ -60,6 +60,9 @@
 
 func (p *process) start(po ports) error {
 	cmd := exec.Command(p.program, p.role, "--settings="+p.settingsPath(), "--peer-listen="+net.JoinHostPort(p.listenIP, fmt.Sprint(po.peers)))
+	if p.role == "core" {
+		cmd.Args = append(cmd.Args, fmt.Sprintf("--metrics-port=%d", po.metrics))
+	}
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -31,12 +31,13 @@
 	Workers         int           // At most 200; 0 for a small number that the seed determines.
 	Without         []string      // Kinds of faults that are not injected.
 	Malformed       bool          // Malformed input is sent to all hosts during the faults.
+	ZoneOrders      bool          // An operator takes zones out of service and brings them back.
 	Abandoned       bool          // Some callers leave without an answer and cancel their jobs at another host.
 	GangFailures    bool          // All members of some gangs fail at once, in fewer runs than their queue allows.
 }
 
 // hostPorts are below the range from which the system picks ports, so that they are free while a host or a worker is down.
-var hostPorts = ports{peers: 21001, control: 21002, front: 21003, ready: 21004}
+var hostPorts = ports{peers: 21001, control: 21002, front: 21003, ready: 21004, metrics: 21005}
 
 // Bounds of the number of workers that the seed determines: with few of them the jobs have to wait, with many some
 // workers are idle.
@@ -112,6 +113,9 @@
 	loadCtx, cancel := context.WithTimeout(ctx, options.FaultDuration)
 	defer cancel()
 	g.Go(func() error { r.checks.submitJobs(loadCtx); return nil })
+	if options.ZoneOrders {
+		g.Go(func() error { r.checks.orderZones(loadCtx); return nil })
+	}
 	if options.Abandoned {
 		g.Go(func() error { r.checks.abandonJobs(loadCtx); return nil })
 	}
@@ -127,6 +131,7 @@
 	}
 	r.logEvent("faults_over")
 	r.checks.awaitCompletion(options.CompletionLimit)
+	r.checks.checkZones()
 	r.checks.checkAbandoned(options.CompletionLimit)
 	r.checks.checkConfig(options.CompletionLimit)
 	r.checks.checkLogs()
