dispatch: a failed run of a gang counts once against a worker

A worker gets no work for 2.5 s after a failure, twice as long after each further one up to 10 s. Each member of a gang that failed on it counted, so that one run of four members kept it from work for 10 s.

Change: a session remembers the run that was counted last and counts it once.

Evidence: the new spec (four members on one worker, work of 0.3 s in the second run) was not completed after 5 s without the change. internal/dispatch passes.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -452,11 +452,10 @@
 		if j == nil {
 			return
 		}
-		holder := e.Task
-		if j.Spec.Steps[e.Task.Step].Gang {
-			holder.Index = 0
-		}
-		if t := j.Task(holder); len(t.FailedOn) == 0 { // If the task has failed elsewhere, the task is the likelier cause.
+		run := failedRun{l.gangKey(e.Task), e.Attempt}
+		// If the task has failed elsewhere, the task is the likelier cause.
+		if t := j.Task(run.task); len(t.FailedOn) == 0 && s.failedRun != run {
+			s.failedRun = run
 			s.avoid(now.Mono)
 		}
 	}
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -113,6 +113,15 @@
 		Entry("of which none is left", 3, domain.JobFailed, false),
 	)
 
+	It("counts a failed run of a gang once against a worker, however many of its members fail there", func() {
+		// Guards against a worker that is kept from all work for 10 s because four members of one gang failed on it together.
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", MaxAttempts: 3, Payload: "work=300 gang=4 fail_runs=1", Steps: []domain.Step{gang(4, 1)}})
+		w.run(5 * time.Second)
+		Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	})
+
 	It("places work on idle workers as soon as it leads, not when they report next", func() {
 		// Guards against urgent work that waits for up to one report period after each change of leadership.
 		w := newWorld(1, 8)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -40,6 +40,7 @@
 	probedAt       time.Duration // When that was asked for.
 	doneAt         time.Duration // When an attempt on it last ended as done.
 	failedInARow   int           // Consecutive failures that count against the worker.
+	failedRun      failedRun     // The one that was counted last in failedInARow.
 	hastyInARow    int           // Holds answered too early in a row, see pauseIfHasty.
 	rejectedInARow int           // Starts rejected since the last confirmed one.
 	avoidUntil     time.Duration // Until then, the worker gets no new attempts.
@@ -60,6 +61,12 @@
 	forgetInFlight bool          // A command that forgets this incarnation is proposed and not applied yet.
 }
 
+// failedRun is an attempt that has failed, of a gang with all its members.
+type failedRun struct {
+	task    domain.TaskID // See gangKey.
+	attempt int
+}
+
 // clockReading is a reading of a worker's clock.
 type clockReading struct {
 	ms int64         // 0 if there is none.
