corehost: a late notice that a worker leaves does not concern its next incarnation

What callers could see: the tasks of a worker that had come back under its identifier were stopped when a cut healed.

Cause: the notice need not name an incarnation, and the leader took the one that was registered when the call arrived.

Change: the host that receives such a notice asks the leader for the registered incarnation and passes the notice on for that one.

--- a/internal/corehost/forward.go
+++ b/internal/corehost/forward.go
@@ -40,25 +40,26 @@
 	switch op.Kind {
 	case service.TakeZoneOut, service.BringZoneIn:
 		return f.orderZone(ctx, op)
+	case service.Deregister:
+		if op.Worker.Incarnation.BornMS == 0 {
+			return f.deregisterPresent(ctx, op)
+		}
 	}
 	return f.send(ctx, op)
 }
 
-// orderZone executes an order for a zone. A call between hosts may arrive long after its sender has given it up, and after later
-// orders of the same operator. So the order names the revision of the zones that the leader had when this host already had
-// the order, and the log executes it only if there was no other order since.
+// A call between hosts may arrive long after its sender has given it up, and after later ones of the same caller. An order whose
+// effect depends on what came before therefore takes two calls: the host that has received it asks the leader for what it
+// refers to, and then sends it with the answer, so that it has no effect once that has changed.
+
+// orderZone executes an order for a zone, unless another order has been executed since this host has received it.
 func (f *Forwarder) orderZone(ctx context.Context, op service.Operation) service.Result {
 	for began := f.host.clock.Now(); ; {
-		current := f.send(ctx, service.Operation{Kind: service.GetZoneRevision})
-		if current.Outcome != service.Done {
-			return service.Result{Outcome: service.NotServing}
-		}
-		// The operator may have sent later orders once it has given this one up. A timer that is due need not have fired yet
-		// when a process continues after it was stopped.
-		if ctx.Err() != nil || f.host.clock.Now()-began > forwardTimeout {
+		present := f.send(ctx, service.Operation{Kind: service.GetZoneRevision})
+		if present.Outcome != service.Done || f.callerGone(ctx, began) {
 			return service.Result{Outcome: service.NotServing}
 		}
-		op.ZoneRevision = current.ZoneRevision
+		op.ZoneRevision = present.ZoneRevision
 		r := f.send(ctx, op)
 		if r.Outcome != service.Superseded {
 			return r
@@ -67,6 +68,28 @@
 	}
 }
 
+// deregisterPresent removes the incarnation of a worker that is registered now; the notice that it leaves names none.
+func (f *Forwarder) deregisterPresent(ctx context.Context, op service.Operation) service.Result {
+	began := f.host.clock.Now()
+	present := f.send(ctx, service.Operation{Kind: service.GetIncarnation, Worker: op.Worker})
+	switch {
+	case present.Outcome == service.NotFound:
+		return service.Result{Outcome: service.Done}
+	case present.Outcome != service.Done || f.callerGone(ctx, began):
+		return service.Result{Outcome: service.NotServing}
+	}
+	named := *op.Worker
+	named.Incarnation.BornMS = present.BornMS
+	op.Worker = &named
+	return f.send(ctx, op)
+}
+
+// callerGone tells whether the caller of an operation that began at a time has left, or has gone on by now. A timer that is due
+// need not have fired yet when a process continues after it was stopped, so the clock decides.
+func (f *Forwarder) callerGone(ctx context.Context, began time.Duration) bool {
+	return ctx.Err() != nil || f.host.clock.Now()-began > forwardTimeout
+}
+
 // send executes an operation here, or sends it to the leader once.
 func (f *Forwarder) send(ctx context.Context, op service.Operation) service.Result {
 	r := f.host.operate(ctx, op)
@@ -92,7 +115,7 @@
 	if outcome == service.Redirect {
 		outcome = service.NotServing // The leader has just changed; the caller tries again.
 	}
-	return service.Result{Outcome: outcome, Document: out.Document, ZoneRevision: out.ZoneRevision}
+	return service.Result{Outcome: outcome, Document: out.Document, ZoneRevision: out.ZoneRevision, BornMS: out.BornMs}
 }
 
 // clientFor returns the client for calls to a host.
@@ -132,7 +155,7 @@
 		}
 	case service.PutConfig:
 		return op, decodeValue(in.Document, &op.Config)
-	case service.Register, service.Deregister:
+	case service.Register, service.Deregister, service.GetIncarnation:
 		return op, decodeValue(in.Document, &op.Worker)
 	case service.RegisterMany:
 		return op, eris.Wrap(domain.Decode(in.Document, &op.Reports), "decoding reports")
--- a/internal/corehost/forward_test.go
+++ b/internal/corehost/forward_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/mustardwalk/mustardwalk/internal/domain"
 	"github.com/mustardwalk/mustardwalk/internal/replica"
 	"github.com/mustardwalk/mustardwalk/internal/rpc"
 	"github.com/mustardwalk/mustardwalk/internal/service"
@@ -68,6 +69,36 @@
 	return NewForwarder(h)
 }
 
+// Guards against a worker that has restarted under its identifier and is taken for leaving: its tasks are stopped, because the
+// notice of its earlier incarnation, which does not name it, arrives when a cut heals.
+var _ = DescribeTable("a notice that a worker leaves, held up between hosts, does not concern its next incarnation", func(ctx SpecContext, pass int) {
+	leader := startAloneWith(Clients{Workers: silentWorkers{}})
+	calls := &heldCalls{pass: pass, released: make(chan struct{})}
+	follower, atLeader := follow("127.0.0.1", calls.serve(leader)), NewForwarder(leader)
+	register := func(born int64) service.Outcome {
+		w := &domain.Worker{Incarnation: domain.WorkerIncarnation{ID: "i-1", BornMS: born}, Pool: "p", Address: "10.0.0.1:80", Capacity: domain.Resources{Accelerators: 8}}
+		return atLeader.Operate(ctx, service.Operation{Kind: service.Register, Worker: w}).Outcome
+	}
+	Expect(register(1)).To(Equal(service.Done))
+	notice := service.Operation{Kind: service.Deregister, Worker: &domain.Worker{Incarnation: domain.WorkerIncarnation{ID: "i-1"}}}
+	Expect(follower.Operate(ctx, notice).Outcome).To(BeElementOf(service.OutcomeUnknown, service.NotServing))
+	Expect(register(2)).To(Equal(service.Done))
+	calls.release()
+	Consistently(func() bool {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		w := leader.stateMachine.Worker("i-1")
+		return w != nil && w.Incarnation.BornMS == 2
+	}, time.Second).Should(BeTrue())
+	Expect(atLeader.Operate(ctx, notice).Outcome).To(Equal(service.Done), "the notice of the present incarnation does")
+	leader.mu.Lock()
+	defer leader.mu.Unlock()
+	Expect(leader.stateMachine.Worker("i-1")).To(BeNil())
+},
+	Entry("the first call", SpecTimeout(20*time.Second), 0),
+	Entry("the second call", SpecTimeout(20*time.Second), 1),
+)
+
 var _ = Describe("an order for a zone", func() {
 	order := func(ctx context.Context, f *Forwarder, kind service.OperationKind) service.Outcome {
 		return f.Operate(ctx, service.Operation{Kind: kind, Zone: "z2"}).Outcome
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -226,7 +226,7 @@
 		return &rpc.OperateReply{Outcome: uint32(service.NotServing)}, nil
 	}
 	r := h.operate(ctx, op)
-	return &rpc.OperateReply{Outcome: uint32(r.Outcome), Document: r.Document, Leader: r.Leader, ZoneRevision: r.ZoneRevision}, nil
+	return &rpc.OperateReply{Outcome: uint32(r.Outcome), Document: r.Document, Leader: r.Leader, ZoneRevision: r.ZoneRevision, BornMs: r.BornMS}, nil
 }
 
 // operate executes an operation if this host leads, and names the leader otherwise.
@@ -263,6 +263,12 @@
 	case service.TakeZoneOut, service.BringZoneIn:
 		z := &domain.SetZone{Zone: op.Zone, Out: op.Kind == service.TakeZoneOut, Revision: cmp.Or(op.ZoneRevision, h.stateMachine.ZoneRevision())}
 		return h.commitOperation(ctx, now, &domain.Command{Zone: z})
+	case service.GetIncarnation:
+		w := h.stateMachine.Worker(op.Worker.Incarnation.ID)
+		if w == nil {
+			return service.Result{Outcome: service.NotFound}
+		}
+		return service.Result{Outcome: service.Done, BornMS: w.Incarnation.BornMS}
 	case service.GetZoneRevision:
 		return service.Result{Outcome: service.Done, ZoneRevision: h.stateMachine.ZoneRevision()}
 	case service.Register:
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -110,9 +110,10 @@
 	GetWave
 	RegisterMany // Reports of several workers, which another host has received.
 	GetZoneRevision
+	GetIncarnation // Returns the registered incarnation of a worker.
 )
 
-var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister", "start_wave", "get_wave", "register_many", "get_zone_revision"}
+var operationNames = [...]string{"", "put_config", "get_config", "zone_out", "zone_in", "register", "deregister", "start_wave", "get_wave", "register_many", "get_zone_revision", "get_incarnation"}
 
 // String returns the name for logs and metrics.
 func (k OperationKind) String() string {
@@ -129,7 +130,7 @@
 	Zone   string         // TakeZoneOut, BringZoneIn.
 	// TakeZoneOut, BringZoneIn: the order is only executed if the zones still have this revision; 0 for the present one.
 	ZoneRevision uint64
-	Worker       *domain.Worker // Register, Deregister.
+	Worker       *domain.Worker // Register, Deregister; GetIncarnation: only its identifier is set.
 	Wave         *domain.Wave   // StartWave; GetWave: only Number is set.
 	ClockMS      int64          // Register: the worker's clock.
 	Reports      []Report       // RegisterMany.
@@ -172,6 +173,7 @@
 	// report, its Outcome.
 	Document []byte
 	Leader   string // Redirect: address of the leader.
+	BornMS   int64  // GetIncarnation: its start, Unix milliseconds.
 	// GetZoneRevision: the number of the newest order for a zone that was executed.
 	ZoneRevision uint64
 }
