--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -156,7 +156,10 @@
 	if change != nil && h.stopping {
 		return service.Answer{Verdict: service.NotLeader}, nil
 	}
-	if change != nil && h.jobGrowth(change) > 0 && h.jobsFull(h.jobGrowth(change)) {
+	if change == nil {
+		return a, nil
+	}
+	if growth := h.jobGrowth(change); growth > 0 && h.jobsFull(growth) {
 		if change.Submit != nil && h.submitting(change.Submit.ID) {
 			return service.Answer{Verdict: service.Unknown}, nil // An earlier call for the same job may yet be stored.
 		}
