--- a/internal/corehost/apply_test.go
+++ b/internal/corehost/apply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,26 +24,36 @@
 func startAlone() *Host { return startAloneWith(Clients{}) }
 
 func startAloneWith(clients Clients) *Host {
+	h, _ := startAloneIn(GinkgoT().TempDir(), clients)
+	return h
+}
+
+// startAloneIn is startAloneWith for a data folder. The function that it returns stops the host.
+func startAloneIn(folder string, clients Clients) (*Host, func()) {
 	const address = "127.0.0.1"
 	h, err := Open(Settings{
-		Address: address, Zone: "z", DataFolder: GinkgoT().TempDir(), Founding: true, Seeds: []string{address},
+		Address: address, Zone: "z", DataFolder: folder, Founding: true, Seeds: []string{address},
 		Dispatch: dispatch.Options{LeaseDuration: 10 * time.Second, GangWait: 3 * time.Second, ReportPeriod: time.Second, Retention: time.Minute},
 	}, clients, NewMetrics(), logr.Discard())
 	Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- h.Run(ctx) }()
-	DeferCleanup(func() {
-		Expect(ended).NotTo(Receive(), "the host has ended by itself")
-		stop()
-		Eventually(ended, 5*time.Second).Should(Receive())
-	})
+	var once sync.Once
+	stopOnce := func() {
+		once.Do(func() {
+			Expect(ended).NotTo(Receive(), "the host has ended by itself")
+			stop()
+			Eventually(ended, 5*time.Second).Should(Receive())
+		})
+	}
+	DeferCleanup(stopOnce)
 	Eventually(func() bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		return h.leads(h.now())
 	}, 5*time.Second).Should(BeTrue())
-	return h
+	return h, stopOnce
 }
 
 var _ = Describe("a core host", func() {
