corehost: the stand-in that holds calls back in specs is no data race

Cause: it counted a held call while the spec waited for the count. The count is taken under the lock now, and no call is held once they are released.

--- a/internal/corehost/forward_test.go
+++ b/internal/corehost/forward_test.go
@@ -19,21 +19,31 @@
 // heldCalls lets a host serve calls of other hosts, and holds those after the first pass ones until they are released, as
 // a network partition does.
 type heldCalls struct {
-	mu       sync.Mutex
-	pass     int
 	released chan struct{}
 	held     sync.WaitGroup
+
+	mu   sync.Mutex
+	pass int
+	over bool // The calls have been released.
 }
 
+// holds tells whether a call is to be held, and counts it in held if so.
 func (c *heldCalls) holds() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pass--
-	return c.pass < 0
+	if c.pass >= 0 || c.over {
+		return false
+	}
+	c.held.Add(1)
+	return true
 }
 
 // release executes the calls that were held, and waits until that is done.
 func (c *heldCalls) release() {
+	c.mu.Lock()
+	c.over = true
+	c.mu.Unlock()
 	close(c.released)
 	c.held.Wait()
 }
@@ -45,7 +55,6 @@
 	Expect(err).NotTo(HaveOccurred())
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c.holds() {
-			c.held.Add(1)
 			defer c.held.Done()
 			<-c.released
 			r = r.WithContext(context.WithoutCancel(r.Context())) // The end of the sender's connection may arrive later.
