soak: an acknowledged end counts for the incarnation that it is of

Change: ends of single tasks are told apart by the incarnation as well as by the attempt, when they are listed and when they are acknowledged. A second run after an acknowledged end is reported as before. Gangs are as before, since the end of any member represents all.

Evidence: the new spec failed before; it also checks that a start after the end of the second run is reported. The other specs of the checker pass.

--- a/soak/check.go
+++ b/soak/check.go
@@ -129,12 +129,19 @@
 	}
 	if e.Outcome == domain.OutcomeDone {
 		key := c.doneKey(e.Task)
-		if !slices.ContainsFunc(c.done[key], func(d *doneEnd) bool { return d.end.Attempt == e.Attempt }) {
+		if !slices.ContainsFunc(c.done[key], func(d *doneEnd) bool { return c.sameRun(d.end, e) }) {
 			c.done[key] = append(c.done[key], &doneEnd{end: e})
 		}
 	}
 }
 
+// sameRun tells whether two ends are of one run: of a gang, the ends of any members. An attempt that two incarnations of a
+// worker have carried out was run twice, and the end of the second says nothing of the first.
+func (c *checker) sameRun(a, b simworker.Event) bool {
+	j := c.jobs[a.Task.Job]
+	return a.Attempt == b.Attempt && (a.Worker == b.Worker || (j != nil && j.gang))
+}
+
 func sameAttempt(a, b simworker.Event) bool {
 	return a.Worker == b.Worker && a.Task == b.Task && a.Attempt == b.Attempt
 }
@@ -187,7 +194,7 @@
 	defer c.mu.Unlock()
 	c.parent.logEvent("ack worker=%s task=%s attempt=%d outcome=%s", e.Worker.ID, e.Task, e.Attempt, e.Outcome)
 	for _, d := range c.done[c.doneKey(e.Task)] {
-		if d.end.Attempt != e.Attempt || d.acknowledged {
+		if !c.sameRun(d.end, e) || d.acknowledged {
 			continue
 		}
 		d.acknowledged = true
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -53,6 +53,19 @@
 		Expect(checks.violations()).To(ConsistOf(ContainSubstring("TWICE")))
 	})
 
+	ginkgo.It("takes the acknowledged end of a run for that run only, not for one of an earlier incarnation", func() {
+		a, b := newWorker("a"), simworker.New(domain.WorkerIncarnation{ID: "a", BornMS: 2}, fleet.Capacity, 1, gangs, 0)
+		start(a, 0, task, 1, "work=1")
+		a.Advance(10 * time.Millisecond)
+		a.Crash(20 * time.Millisecond) // Nobody has read the end.
+		start(b, 30*time.Millisecond, task, 1, "work=1")
+		b.Advance(50 * time.Millisecond)
+		acknowledge(b, 60*time.Millisecond)
+		Expect(checks.violations()).To(BeEmpty())
+		start(b, 70*time.Millisecond, task, 2, "work=1")
+		Expect(checks.violations()).To(ConsistOf(ContainSubstring("TWICE")))
+	})
+
 	ginkgo.It("reports no overlap with a run on a worker that has crashed", func() {
 		a, b := newWorker("a"), newWorker("b")
 		start(a, 0, task, 1, "work=1000")
