dispatch: an end is logged and counted when it is committed, with the failed runs that it leaves

What operators saw: attempt_ended was written when a worker listed an end. The log did not show whether an end counted, nor how often; failed_before was 0 for all members of a gang but the first, since the first holds the gang's failures; job_ended named neither the failures nor the limit. So the log of a job that was shown as failed could not tell whether each member of a run had counted, one end had counted twice, or the limit was another one.

Change: the end is logged and counted when its command is applied, once for the attempt that the leader tracks. The line has failed_runs and max_attempts, job_ended and failed_before have them too.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -439,11 +439,12 @@
 	return ends
 }
 
-// noteOutcome logs and counts the end of an attempt. After a failure the worker is avoided for a while.
+// noteOutcome handles the end of an attempt when it is first listed. After a failure the worker is avoided for a while.
 func (l *Leader) noteOutcome(now Time, s *session, a *attemptState, e EndedTask) {
-	l.options.Observer.AttemptEnded(e.Outcome, now.Mono-a.adoptedAt)
-	l.options.Log("attempt_ended", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", s.incarnation.ID,
-		"outcome", e.Outcome.String(), "ran_ms", (now.Mono - a.adoptedAt).Milliseconds(), "reason", a.reason)
+	if a.endListedAt != 0 {
+		return
+	}
+	a.endListedAt = now.Mono
 	switch e.Outcome {
 	case domain.OutcomeDone:
 		s.failedInARow, s.avoidUntil, s.doneAt = 0, 0, now.Mono
--- /dev/null
+++ b/internal/dispatch/counts_test.go
@@ -0,0 +1,65 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
+	"github.com/mustardwalk/mustardwalk/internal/domain"
+)
+
+// counts is an observer that counts what leaders report.
+type counts struct {
+	ends    map[domain.Outcome]int
+	jobs    map[domain.JobState]int
+	unknown int
+}
+
+func (*counts) AttemptBegun(int, time.Duration)                  {}
+func (c *counts) AttemptEnded(o domain.Outcome, _ time.Duration) { c.ends[o]++ }
+func (*counts) AttemptPreempted(int)                             {}
+func (*counts) StartRejected(dispatch.Status)                    {}
+func (c *counts) UnknownAttempt()                                { c.unknown++ }
+func (c *counts) JobEnded(s domain.JobState, _ time.Duration)    { c.jobs[s]++ }
+
+// observed makes the leaders of a world, from the next one on, report to an observer.
+func (w *world) observed() *counts {
+	c := &counts{ends: map[domain.Outcome]int{}, jobs: map[domain.JobState]int{}}
+	w.observer = c
+	w.elect()
+	return c
+}
+
+// slowEnds delays the answers of holds that list ends, so that several list the same ones before their commit.
+func (w *world) slowEnds(delay time.Duration) {
+	w.answerDelay = func(c dispatch.Call, r dispatch.Reply) time.Duration {
+		if c.Kind == dispatch.CallHold && len(r.Ended) > 0 {
+			return delay
+		}
+		return 0
+	}
+}
+
+var _ = Describe("what a leader counts", func() {
+	It("is an end once, however many lists show it before its commit", func() {
+		// Guards against ends that are logged and counted once for each list.
+		w := newWorld(3, 3)
+		seen := w.observed()
+		w.slowEnds(5 * time.Millisecond)
+		logged := 0
+		w.log = func(event string, _ ...any) {
+			if event == "attempt_ended" {
+				logged++
+			}
+		}
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=60000", Steps: []domain.Step{step(12, 1)}})
+		w.run(3 * time.Second)
+		w.commit(&domain.Command{Cancel: &domain.CancelJob{Job: "j"}})
+		w.run(6 * time.Second)
+		Expect(seen.ends).To(Equal(map[domain.Outcome]int{domain.OutcomeStopped: 12}))
+		Expect(logged).To(Equal(12))
+	})
+})
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"time"
 
@@ -29,6 +30,7 @@
 	listedAt       time.Duration // When the worker last listed it.
 	checkpoint     string        // Newest checkpoint that the worker has listed.
 	load           int64         // As the worker listed it last, see RunningTask.Load.
+	endListedAt    time.Duration // When the worker first listed its end, 0 before.
 	pace           int           // Pace that was sent last, in percent.
 	paceConfirmed  int           // Pace that the worker has confirmed, in percent.
 	paceInFlight   bool          // A CallPace is in flight.
@@ -278,6 +280,7 @@
 			l.mayNeedHold(s)
 		}
 		for _, e := range c.End.Ends {
+			l.noteCommittedEnd(now, c.End.Worker, e)
 			l.attemptEnded(now, e)
 		}
 		l.noteEndedJobs(c)
@@ -313,7 +316,25 @@
 	}
 	l.options.Observer.AttemptBegun(j.Spec.Priority, milliseconds(l.WaitedMS(now, j, a.Task.Occurrence, a.Task.Step)))
 	l.options.Log("attempt_begun", "job", a.Task.Job, "task", a.Task.String(), "attempt", t.Attempt, "worker", a.Worker.ID,
-		"waited_ms", now.WallMS-j.AcceptedMS, "failed_before", t.Failures)
+		"waited_ms", now.WallMS-j.AcceptedMS, "failed_before", j.Task(l.gangKey(a.Task)).Failures)
+}
+
+// noteCommittedEnd logs and counts the end of an attempt. It is counted when it is committed and not when it is listed: an
+// end may be listed several times, and to several leaders, until then.
+func (l *Leader) noteCommittedEnd(now Time, incarnation domain.WorkerIncarnation, e domain.AttemptEnd) {
+	a := l.attempts[e.Task]
+	if a == nil || a.number != e.Attempt || a.incarnation != incarnation {
+		return
+	}
+	j := l.state.Job(e.Task.Job)
+	ran := cmp.Or(a.endListedAt, now.Mono) - a.adoptedAt
+	l.options.Observer.AttemptEnded(e.Outcome, ran)
+	if e.Outcome == domain.OutcomeLost {
+		return // Logged by noteLost, with the cause.
+	}
+	l.options.Log("attempt_ended", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", incarnation.ID,
+		"outcome", e.Outcome.String(), "ran_ms", ran.Milliseconds(), "failed_runs", j.Task(l.gangKey(e.Task)).Failures, "max_attempts", j.Spec.MaxAttempts,
+		"reason", a.reason)
 }
 
 // attemptEnded handles the committed end of an attempt. It drops the state of a task that is on no worker any more, and
@@ -359,7 +380,7 @@
 	l.endedJobs[j.Spec.ID] = true
 	age := j.EndedMS - j.AcceptedMS
 	l.options.Observer.JobEnded(j.State, milliseconds(age))
-	l.options.Log("job_ended", "job", j.Spec.ID, "state", j.State.String(), "age_ms", age)
+	l.options.Log("job_ended", "job", j.Spec.ID, "state", j.State.String(), "age_ms", age, "failed_runs", j.FailedRuns(), "max_attempts", j.Spec.MaxAttempts)
 	l.forgetJob(j)
 }
 
@@ -417,6 +438,7 @@
 			continue
 		}
 		l.noteLost(now, a, "worker_gone")
+		l.options.Observer.AttemptEnded(domain.OutcomeLost, now.Mono-a.adoptedAt)
 		l.forgetAttempt(id)
 		if j != nil && j.Task(id).Moved && j.Task(id).Attempt == a.number {
 			m := l.adopt(id, a.number, j.Task(id).Worker, now)
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -217,9 +217,8 @@
 	}
 }
 
-// noteLost logs and counts an attempt whose task is taken back without an answer from its worker.
+// noteLost logs an attempt whose task is taken back without an answer from its worker.
 func (l *Leader) noteLost(now Time, a *attemptState, cause string) {
-	l.options.Observer.AttemptEnded(domain.OutcomeLost, now.Mono-a.adoptedAt)
 	l.options.Log("attempt_lost", "job", a.task.Job, "task", a.task.String(), "attempt", a.number, "worker", a.incarnation.ID, "cause", cause,
 		"confirmed", a.startConfirmed, "adopted_ms", (now.Mono - a.adoptedAt).Milliseconds())
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -52,6 +52,7 @@
 	delayedCalls    map[string][]func()                               // Calls that a partition delays, by worker.
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
 	log             func(event string, kv ...any)
+	observer        dispatch.Observer
 	onLoss          func()        // Called when a command that declares attempts lost is proposed.
 	tickTime        time.Duration // Real time that the leader's decisions have taken.
 	longestTick     time.Duration
@@ -140,7 +141,7 @@
 	w.leader = dispatch.New(w.stateMachine, dispatch.Options{
 		FencingToken: w.term, LeaseDuration: simworker.MaxLease, GangWait: simworker.GangWait, ReportPeriod: reportEvery,
 		Retention: time.Minute, RestoreTime: 600 * time.Millisecond, UpkeepTime: 2 * time.Second, MachineLease: 3 * time.Second, Log: func(event string, kv ...any) { w.log(event, kv...) },
-		Stopwatch: func() time.Duration { w.stopwatch += w.planTime; return w.stopwatch },
+		Stopwatch: func() time.Duration { w.stopwatch += w.planTime; return w.stopwatch }, Observer: w.observer,
 	}, w.time())
 }
 
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -266,6 +266,19 @@
 	return &tasks[id.Index]
 }
 
+// FailedRuns returns how often the task, or the gang, of the job that has failed most often has failed.
+func (j *Job) FailedRuns() int {
+	most := 0
+	for _, o := range j.Occurrences {
+		for s := range o.Steps {
+			for i := range o.Steps[s] {
+				most = max(most, o.Steps[s][i].Failures)
+			}
+		}
+	}
+	return most
+}
+
 // nameOf returns the name of a value that may have been decoded, and be one of a later version.
 func nameOf(names []string, value int) string {
 	if !within(value, len(names)) {
