dispatch: the end of a job is counted once, also if the ends of its attempts reach another leader

What operators saw: job_ended and job_seconds could have one job several times: once more for each change of leader between the end of the job and the ends of its attempts. A job that fails or is cancelled ends first; its attempts end when their workers report it.

Cause: the set of jobs whose end was counted was empty in a new leader, and any end of an attempt of an ended job counted the job's end. The class of the incident: one event, counted by each that gets a report of it.

Change: a new leader takes the ended jobs that still have attempts for counted; they ended before its term.

--- a/internal/dispatch/counts_test.go
+++ b/internal/dispatch/counts_test.go
@@ -62,4 +62,20 @@
 		Expect(seen.ends).To(Equal(map[domain.Outcome]int{domain.OutcomeStopped: 12}))
 		Expect(logged).To(Equal(12))
 	})
+
+	It("is the end of a job once, also if the ends of its attempts reach another leader", func() {
+		// Guards against a job that each leader counts again that gets the end of one of its attempts.
+		w := newWorld(4, 3)
+		seen := w.observed()
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=60000", Steps: []domain.Step{step(12, 1)}})
+		w.run(3 * time.Second)
+		w.commit(&domain.Command{Cancel: &domain.CancelJob{Job: "j"}})
+		w.run(w.now + w.commitDelay)
+		Expect(w.stateMachine.EndedWithAttempts()).NotTo(BeEmpty())
+		w.elect()
+		w.run(10 * time.Second)
+		Expect(w.stateMachine.EndedWithAttempts()).To(BeEmpty())
+		Expect(seen.jobs).To(Equal(map[domain.JobState]int{domain.JobCancelled: 1}))
+	})
 })
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -143,6 +143,9 @@
 			s.holdNow = true
 		}
 	}
+	for id := range state.EndedWithAttempts() {
+		l.endedJobs[id] = true // Their ends were counted by the leaders that applied them.
+	}
 	l.stopNotNeeded(now)
 	l.inheritPaces()
 	return l
