timeline: an end that is logged twice does not hide the events of a worker

Cause: the attempts on a worker were a number, which each line of an end lowered.

Change: the attempts are kept by task and number.

Evidence: the new spec misses worker_leaving before, passes after.

--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -112,7 +112,7 @@
 		entries[i].index = i
 	}
 	slices.SortStableFunc(entries, func(a, b Entry) int { return cmp.Or(cmp.Compare(a.Time, b.Time), cmp.Compare(a.index, b.index)) })
-	f := jobTracker{job: job, requests: requestsOf(entries, job), attemptsOn: map[string]int{}}
+	f := jobTracker{job: job, requests: requestsOf(entries, job), attemptsOn: map[string]map[attempt]bool{}}
 	var out []Entry
 	for _, e := range entries {
 		if f.concerns(e) {
@@ -134,12 +134,15 @@
 	return out
 }
 
+// attempt identifies an attempt in a log.
+type attempt struct{ task, number string }
+
 // jobTracker decides which events concern a job. It tracks the state of the job while it goes through the events in
 // order.
 type jobTracker struct {
 	job        string
 	requests   map[string]bool
-	attemptsOn map[string]int // Number of the job's attempts by worker.
+	attemptsOn map[string]map[attempt]bool // The job's attempts by worker. A log may name the end of one several times.
 	jobOpen    bool
 }
 
@@ -151,7 +154,7 @@
 		return true
 	}
 	if worker := e.Fields["worker"]; worker != "" {
-		return f.attemptsOn[worker] > 0 && workerEvents[e.Event]
+		return len(f.attemptsOn[worker]) > 0 && workerEvents[e.Event]
 	}
 	return f.jobOpen && openJobEvents[e.Event]
 }
@@ -163,9 +166,13 @@
 	case "job_ended":
 		f.jobOpen = false
 	case "attempt_begun":
-		f.attemptsOn[e.Fields["worker"]]++
+		worker := e.Fields["worker"]
+		if f.attemptsOn[worker] == nil {
+			f.attemptsOn[worker] = map[attempt]bool{}
+		}
+		f.attemptsOn[worker][attempt{e.Fields["task"], e.Fields["attempt"]}] = true
 	case "attempt_ended", "attempt_lost":
-		f.attemptsOn[e.Fields["worker"]]--
+		delete(f.attemptsOn[e.Fields["worker"]], attempt{e.Fields["task"], e.Fields["attempt"]})
 	}
 }
 
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -54,6 +54,21 @@
 		}))
 	})
 
+	It("has the events of a worker as long as an attempt is there, also if the end of another one is logged twice", func() {
+		// Guards against a count of attempts that each line of the same end lowers.
+		const log = `time=10:00:01.000 event=attempt_begun host=core-1 job=j1 task=j1.0.0.0 attempt=1 worker=i-1
+time=10:00:01.000 event=attempt_begun host=core-1 job=j1 task=j1.0.0.1 attempt=1 worker=i-1
+time=10:00:02.000 event=attempt_ended host=core-1 job=j1 task=j1.0.0.0 attempt=1 worker=i-1 outcome=failed
+time=10:00:02.100 event=attempt_ended host=core-1 job=j1 task=j1.0.0.0 attempt=1 worker=i-1 outcome=failed
+time=10:00:03.000 event=worker_leaving host=core-1 worker=i-1
+time=10:00:04.000 event=attempt_lost host=core-1 job=j1 task=j1.0.0.1 attempt=1 worker=i-1 cause=worker_gone
+time=10:00:05.000 event=worker_registered host=core-1 worker=i-1
+`
+		Expect(events(timeline.ForJob(read(log), "j1"))).To(Equal([]string{
+			"attempt_begun", "attempt_begun", "attempt_ended", "attempt_ended", "worker_leaving", "attempt_lost",
+		}))
+	})
+
 	It("is empty for a job that is named in no line", func() {
 		Expect(timeline.ForJob(read(coreLog, entryLog), "j9")).To(BeEmpty())
 	})
