dispatch: two gangs that fail on a worker by turns count once each against it

What callers saw: jobs waited up to 10 s beside an idle worker.

Cause: of a failed run of a gang only the first member is to count against the worker. The session remembered just the run that was counted last, so that the members of two gangs that end by turns all counted.

Change: the session remembers the steps that have failed there within the shortest pause.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -453,10 +453,8 @@
 		if j == nil {
 			return
 		}
-		run := failedRun{l.gangKey(e.Task), e.Attempt}
 		// If the task has failed elsewhere, the task is the likelier cause.
-		if t := j.Task(run.task); len(t.FailedOn) == 0 && s.failedRun != run {
-			s.failedRun = run
+		if t := j.Task(l.gangKey(e.Task)); len(t.FailedOn) == 0 && !(l.failTogether(a) && s.failedBefore(now.Mono, keyOf(e.Task))) {
 			s.avoid(now.Mono)
 		}
 	}
--- a/internal/dispatch/gang_failure_test.go
+++ b/internal/dispatch/gang_failure_test.go
@@ -1,12 +1,15 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/mustardwalk/mustardwalk/internal/dispatch"
 	"github.com/mustardwalk/mustardwalk/internal/domain"
 )
 
@@ -39,3 +42,28 @@
 		Expect(w.state("j")).To(Equal(domain.JobCompleted))
 	})
 })
+
+// completedAfter returns how long a job takes to complete from now on, at most limit.
+func (w *world) completedAfter(id domain.JobID, limit time.Duration) time.Duration {
+	began := w.now
+	for w.now < began+limit && w.state(id) != domain.JobCompleted {
+		w.run(w.now + 10*time.Millisecond)
+	}
+	return w.now - began
+}
+
+var _ = Describe("a worker on which one event ends several attempts", func() {
+	It("is avoided once for each of two gangs whose members fail there by turns", func() {
+		// Guards against a leader that takes each change from one gang to the other for a further failure.
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		for _, id := range []domain.JobID{"a", "b"} {
+			w.submit(domain.JobSpec{ID: id, MaxAttempts: 3, Payload: "work=300 gang=4 fail_runs=1", Steps: []domain.Step{gang(4, 1)}})
+		}
+		w.changeAnswer = func(_ dispatch.Call, r *dispatch.Reply) {
+			slices.SortStableFunc(r.Ended, func(x, y dispatch.EndedTask) int { return cmp.Compare(x.Task.Index, y.Task.Index) })
+		}
+		w.run(1200 * time.Millisecond)
+		Expect(w.completedAfter("a", 20*time.Second)).To(BeNumerically("<", 7*time.Second))
+	})
+})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -31,20 +31,20 @@
 	everAnswered   bool
 	failures       int // Calls without an answer, or holds refused, since the last answer.
 	holdsInFlight  int
-	nextHoldAt     time.Duration // Earliest time of the next hold.
-	endsInFlight   bool          // A command with ends of this worker is proposed and not applied yet.
-	lossInFlight   bool          // That command declares all its attempts lost: none may be started, and no lease renewed.
-	ackedCursor    int64         // Highest cursor that the worker has received.
-	holdNow        bool          // A hold that is answered at once is to be sent.
-	probing        bool          // A hold shows whether the worker can be reached; work waits for its answer.
-	probedAt       time.Duration // When that was asked for.
-	doneAt         time.Duration // When an attempt on it last ended as done.
-	failedInARow   int           // Consecutive failures that count against the worker.
-	failedRun      failedRun     // The one that was counted last in failedInARow.
-	hastyInARow    int           // Holds answered too early in a row, see pauseIfHasty.
-	rejectedInARow int           // Starts rejected since the last confirmed one.
-	avoidUntil     time.Duration // Until then, the worker gets no new attempts.
-	listClockMS    int64         // The worker's clock at its newest lists.
+	nextHoldAt     time.Duration             // Earliest time of the next hold.
+	endsInFlight   bool                      // A command with ends of this worker is proposed and not applied yet.
+	lossInFlight   bool                      // That command declares all its attempts lost: none may be started, and no lease renewed.
+	ackedCursor    int64                     // Highest cursor that the worker has received.
+	holdNow        bool                      // A hold that is answered at once is to be sent.
+	probing        bool                      // A hold shows whether the worker can be reached; work waits for its answer.
+	probedAt       time.Duration             // When that was asked for.
+	doneAt         time.Duration             // When an attempt on it last ended as done.
+	failedInARow   int                       // Consecutive failures that count against the worker.
+	failedSteps    map[stepKey]time.Duration // Steps that have failed there lately, and when, see failedBefore.
+	hastyInARow    int                       // Holds answered too early in a row, see pauseIfHasty.
+	rejectedInARow int                       // Starts rejected since the last confirmed one.
+	avoidUntil     time.Duration             // Until then, the worker gets no new attempts.
+	listClockMS    int64                     // The worker's clock at its newest lists.
 	// unknown counts the attempts in its newest lists that the domain does not place there. While there are any, the
 	// worker gets no starts.
 	unknown      int
@@ -61,12 +61,6 @@
 	forgetInFlight bool          // A command that forgets this incarnation is proposed and not applied yet.
 }
 
-// failedRun is an attempt that has failed, of a gang with all its members.
-type failedRun struct {
-	task    domain.TaskID // See gangKey.
-	attempt int
-}
-
 // clockReading is a reading of a worker's clock.
 type clockReading struct {
 	ms int64         // 0 if there is none.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -187,6 +187,22 @@
 	s.avoidUntil = now + min(avoidMax, avoidFirst<<min(s.failedInARow-1, 4))
 }
 
+// failTogether tells whether the attempts of a step that fail on one worker have failed of one cause.
+func (l *Leader) failTogether(a *attemptState) bool { return l.isGang(a.task) }
+
+// failedBefore tells whether a failure of a step on the worker was counted within the shortest pause. Otherwise it notes one.
+func (s *session) failedBefore(now time.Duration, key stepKey) bool {
+	maps.DeleteFunc(s.failedSteps, func(_ stepKey, at time.Duration) bool { return now-at > avoidFirst })
+	if _, failed := s.failedSteps[key]; failed {
+		return true
+	}
+	if s.failedSteps == nil {
+		s.failedSteps = map[stepKey]time.Duration{}
+	}
+	s.failedSteps[key] = now
+	return false
+}
+
 // expireLeases declares all attempts on a silent worker lost once all leases that the worker can hold are over.
 func (l *Leader) expireLeases(now Time) {
 	for _, s := range l.sessions {
