dispatch: tasks that last and fail together on a worker count once against it

Cause: three of the tasks ran on each worker. Each counted as a failure of the worker of its own, so that it got no work for 10 s in place of 2.5 s. The class of the incident: one event, counted by each attempt that reports it.

Change: the tasks of a step that lasts count like the members of a gang: once for each worker within the shortest pause.

--- a/internal/dispatch/gang_failure_test.go
+++ b/internal/dispatch/gang_failure_test.go
@@ -53,6 +53,9 @@
 }
 
 var _ = Describe("a worker on which one event ends several attempts", func() {
+	// The pause after one failure is 2.5 s, after three it is 10 s.
+	const onePause = 4 * time.Second
+
 	It("is avoided once for each of two gangs whose members fail there by turns", func() {
 		// Guards against a leader that takes each change from one gang to the other for a further failure.
 		w := newWorld(1, 1)
@@ -66,4 +69,19 @@
 		w.run(1200 * time.Millisecond)
 		Expect(w.completedAfter("a", 20*time.Second)).To(BeNumerically("<", 7*time.Second))
 	})
+
+	It("is avoided once for tasks that last and fail there together", func() {
+		// Guards against tasks that start again after 10 s, because three of one step have failed on their worker at once.
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		lasting := step(3, 1)
+		lasting.LongRunning = true
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=100000 fail_runs=1", Steps: []domain.Step{lasting}})
+		w.run(1100 * time.Millisecond)
+		began := w.now
+		for w.starts < 6 && w.now < began+20*time.Second {
+			w.run(w.now + 10*time.Millisecond)
+		}
+		Expect(w.now - began).To(BeNumerically("<", onePause))
+	})
 })
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -188,7 +188,10 @@
 }
 
 // failTogether tells whether the attempts of a step that fail on one worker have failed of one cause.
-func (l *Leader) failTogether(a *attemptState) bool { return l.isGang(a.task) }
+func (l *Leader) failTogether(a *attemptState) bool {
+	step := l.stepOf(a)
+	return step.Gang || step.LongRunning
+}
 
 // failedBefore tells whether a failure of a step on the worker was counted within the shortest pause. Otherwise it notes one.
 func (s *session) failedBefore(now time.Duration, key stepKey) bool {
