dispatch: a gang that stands still counts once against each of its workers

What callers saw: jobs waited up to 10 s beside an idle worker, after a gang with several members there had been stopped for want of progress.

Cause: the worker was avoided once for each member that ran on it, with the pause doubled each time.

Change: each worker of the gang is avoided once.

--- a/internal/dispatch/gang_failure_test.go
+++ b/internal/dispatch/gang_failure_test.go
@@ -84,4 +84,20 @@
 		}
 		Expect(w.now - began).To(BeNumerically("<", onePause))
 	})
+
+	It("is avoided once for a gang that stands still there, however many of its members run there", func() {
+		// Guards against a leader that avoids the worker once for each member.
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "hang=true gang=4", Steps: []domain.Step{gang(4, 1)}})
+		stopped := false
+		w.log = func(event string, _ ...any) { stopped = stopped || event == "attempt_ended" }
+		for !stopped && w.now < 30*time.Second {
+			w.run(w.now + 10*time.Millisecond)
+		}
+		w.commit(&domain.Command{Cancel: &domain.CancelJob{Job: "j"}})
+		w.submit(domain.JobSpec{ID: "next", Payload: "work=300", Steps: []domain.Step{step(1, 1)}})
+		w.run(w.now + 50*time.Millisecond)
+		Expect(w.completedAfter("next", 20*time.Second)).To(BeNumerically("<", onePause))
+	})
 })
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -140,11 +140,13 @@
 // avoidMembers avoids the workers of an attempt, or of all members of its gang, that have completed nothing since it
 // began. Which of them keeps the gang from working is not known.
 func (l *Leader) avoidMembers(now Time, a *attemptState) {
+	avoided := map[*session]bool{} // A worker may run several members.
 	for _, m := range l.members(a.task) {
 		if m != a && !l.isGang(a.task) {
 			continue
 		}
-		if s := l.sessions[m.incarnation.ID]; s != nil && s.incarnation == m.incarnation && s.doneAt < m.adoptedAt {
+		if s := l.sessions[m.incarnation.ID]; s != nil && s.incarnation == m.incarnation && s.doneAt < m.adoptedAt && !avoided[s] {
+			avoided[s] = true
 			s.avoid(now.Mono)
 		}
 	}
