dispatch: a worker that refuses the starts of one plan as unhealthy is avoided once

What callers saw: jobs waited up to 10 s beside an idle worker that had been unhealthy for a moment.

Cause: each refused start doubled the pause. For other refusals this was avoided already.

Change: a refusal as unhealthy counts like the others, once for all starts that arrive before the pause is over.

Evidence: the new spec (four starts, unhealthy for under half a second) completed after 9.92 s before, in under 4 s now.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -271,7 +271,7 @@
 	}
 	if r.Status == OK {
 		s.rejectedInARow = 0
-	} else if s.rejectedInARow++; (s.rejectedInARow > maxRejectedInARow || r.Status == BadCall) && now.Mono >= s.avoidUntil {
+	} else if s.rejectedInARow++; (s.rejectedInARow > maxRejectedInARow || r.Status == BadCall || r.Status == Unhealthy) && now.Mono >= s.avoidUntil {
 		s.avoid(now.Mono) // Once for all starts of one plan.
 	}
 	switch r.Status {
@@ -291,10 +291,7 @@
 		l.options.Observer.StartRejected(r.Status)
 		l.options.Log("start_rejected", "job", a.task.Job, "task", a.task.String(), "attempt", a.number, "worker", s.incarnation.ID,
 			"reason", r.Status.String())
-		switch r.Status {
-		case Unhealthy:
-			s.avoid(now.Mono)
-		case RejectedTicket:
+		if r.Status == RejectedTicket {
 			l.adviceCache.dropTicket(a.task, a.incarnation)
 		}
 		l.abandon(a, r.Status.String())
--- a/internal/dispatch/gang_failure_test.go
+++ b/internal/dispatch/gang_failure_test.go
@@ -100,4 +100,15 @@
 		w.run(w.now + 50*time.Millisecond)
 		Expect(w.completedAfter("next", 20*time.Second)).To(BeNumerically("<", onePause))
 	})
+
+	It("is avoided once if it refuses the starts of one plan as unhealthy", func() {
+		// Guards against a leader that avoids the worker once for each start.
+		w := newWorld(1, 1)
+		w.run(time.Second)
+		healthyAt := 1500 * time.Millisecond
+		w.unhealthy = func(c dispatch.Call) bool { return c.Kind == dispatch.CallStart && w.now < healthyAt }
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=300", Steps: []domain.Step{step(4, 1)}})
+		w.run(healthyAt)
+		Expect(w.completedAfter("j", 20*time.Second)).To(BeNumerically("<", onePause))
+	})
 })
