dispatch: an attempt that is not placed on its worker is counted once, however many lists show it

What operators saw: attempts_unknown_total and the event attempt_unknown counted an attempt once for each list until it had been stopped.

Cause: each list was counted, although the metric counts attempts.

Change: a session remembers the attempts that were counted as long as they are listed, up to 1000 of them.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/mustardwalk/mustardwalk/internal/domain"
@@ -346,6 +347,7 @@
 	}
 	if !overtaken {
 		s.listClockMS, s.unknown = r.ClockMS, unknown
+		maps.DeleteFunc(s.unknownNoted, func(id domain.TaskID, attempt int) bool { return listed[id] != attempt })
 	}
 	l.handOver(now, s, w)
 	l.adjustPace(now, w)
@@ -388,6 +390,9 @@
 // maxUnknownStops is how many stops of unknown attempts may be in flight to one worker. The others follow after its next lists.
 const maxUnknownStops = 32
 
+// maxUnknownNoted bounds session.unknownNoted: a worker may list any number of attempts.
+const maxUnknownNoted = 1000
+
 // stopUnknown stops an attempt that a worker lists as running although the domain does not place it there.
 func (l *Leader) stopUnknown(now Time, w *domain.Worker, s *session, t RunningTask) {
 	if s.unknownStops >= maxUnknownStops {
@@ -401,8 +406,13 @@
 	l.callsInFlight[l.lastCallID] = p
 }
 
-// noteUnknown logs and counts an attempt that a worker lists as running although the domain does not place it there.
+// noteUnknown logs and counts an attempt that a worker lists as running although the domain does not place it there, once as
+// long as it is listed.
 func (l *Leader) noteUnknown(s *session, t RunningTask) {
+	if s.unknownNoted[t.Task] == t.Attempt || len(s.unknownNoted) >= maxUnknownNoted {
+		return
+	}
+	s.unknownNoted[t.Task] = t.Attempt
 	var current domain.Task
 	if j := l.state.Job(t.Task.Job); j != nil {
 		if task := j.Task(t.Task); task != nil {
--- a/internal/dispatch/counts_test.go
+++ b/internal/dispatch/counts_test.go
@@ -78,4 +78,25 @@
 		Expect(w.stateMachine.EndedWithAttempts()).To(BeEmpty())
 		Expect(seen.jobs).To(Equal(map[domain.JobState]int{domain.JobCancelled: 1}))
 	})
+
+	It("is an attempt that the domain does not place on its worker once, however many lists show it", func() {
+		// Guards against attempts that are counted once for each list until they have been stopped.
+		w := newWorld(5, 1)
+		seen := w.observed()
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=60000", Steps: []domain.Step{step(1, 1)}})
+		foreign := dispatch.RunningTask{Task: domain.TaskID{Job: "other"}, Attempt: 1}
+		w.changeAnswer = func(c dispatch.Call, r *dispatch.Reply) {
+			if c.Kind == dispatch.CallHold {
+				r.Running = append(r.Running, foreign)
+			}
+		}
+		w.run(30 * time.Second)
+		Expect(seen.unknown).To(Equal(1))
+
+		By("another attempt of the same task")
+		foreign.Attempt = 2
+		w.run(60 * time.Second)
+		Expect(seen.unknown).To(Equal(2))
+	})
 })
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -201,9 +201,6 @@
 	if _, failed := s.failedSteps[key]; failed {
 		return true
 	}
-	if s.failedSteps == nil {
-		s.failedSteps = map[stepKey]time.Duration{}
-	}
 	s.failedSteps[key] = now
 	return false
 }
