--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"maps"
 	"time"
 
@@ -325,83 +324,6 @@
 		"waited_ms", now.WallMS-j.AcceptedMS, "failed_before", j.Task(l.gangKey(a.Task)).Failures)
 }
 
-// noteCommittedEnd logs and counts the end of an attempt. It is counted when it is committed and not when it is listed: an
-// end may be listed several times, and to several leaders, until then.
-func (l *Leader) noteCommittedEnd(now Time, incarnation domain.WorkerIncarnation, e domain.AttemptEnd) {
-	a := l.attempts[e.Task]
-	if a == nil || a.number != e.Attempt || a.incarnation != incarnation {
-		return
-	}
-	j := l.state.Job(e.Task.Job)
-	ran := cmp.Or(a.endListedAt, now.Mono) - a.adoptedAt
-	l.options.Observer.AttemptEnded(e.Outcome, ran)
-	if e.Outcome == domain.OutcomeLost {
-		return // Logged by noteLost, with the cause.
-	}
-	l.options.Log("attempt_ended", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", incarnation.ID,
-		"outcome", e.Outcome.String(), "ran_ms", ran.Milliseconds(), "failed_runs", j.Task(l.gangKey(e.Task)).Failures, "max_attempts", j.Spec.MaxAttempts,
-		"reason", a.reason)
-}
-
-// attemptEnded handles the committed end of an attempt. It drops the state of a task that is on no worker any more, and
-// stops the remaining attempts of a job that has ended, or of a task that an earlier attempt has completed.
-func (l *Leader) attemptEnded(now Time, e domain.AttemptEnd) {
-	id := e.Task
-	j := l.state.Job(id.Job)
-	if j == nil || j.Task(id) == nil { // An entry of the log may name any task.
-		l.forgetAttempt(id)
-		return
-	}
-	if !j.Task(id).Assigned() {
-		l.forgetAttempt(id)
-	}
-	if a := l.attempts[id]; a != nil && e.Outcome == domain.OutcomeDone && e.Attempt < a.number && j.Task(id).Done {
-		l.options.Log("attempt_not_needed", "job", id.Job, "task", id.String(), "attempt", a.number, "worker", a.incarnation.ID, "done_by", e.Attempt)
-		l.abandon(a, reasonDone)
-	}
-	if j.State.Final() {
-		if j.State != domain.JobCompleted { // The members of a completed gang end by themselves.
-			l.stopJob(id.Job, j.State.String())
-		}
-	} else if t := j.Task(id); !t.Assigned() && !t.Done {
-		l.readySinceMS[keyOf(id)] = now.WallMS
-	}
-}
-
-// noteEndedJobs logs and counts the jobs that an EndAttempts command has ended. Attempts of such a job may end later;
-// the end of the job is not logged and counted again for them.
-func (l *Leader) noteEndedJobs(c *domain.Command) {
-	for _, e := range c.End.Ends {
-		if j := l.state.Job(e.Task.Job); j != nil && j.State.Final() {
-			l.jobEnded(j)
-		}
-	}
-}
-
-// jobEnded logs and counts the end of a job once.
-func (l *Leader) jobEnded(j *domain.Job) {
-	if l.endedJobs[j.Spec.ID] {
-		return
-	}
-	l.endedJobs[j.Spec.ID] = true
-	age := j.EndedMS - j.AcceptedMS
-	l.options.Observer.JobEnded(j.State, milliseconds(age))
-	l.options.Log("job_ended", "job", j.Spec.ID, "state", j.State.String(), "age_ms", age, "failed_runs", j.FailedRuns(), "max_attempts", j.Spec.MaxAttempts)
-	l.forgetJob(j)
-}
-
-// forgetJob drops what is kept for the planning of a job.
-func (l *Leader) forgetJob(j *domain.Job) {
-	delete(l.criticalPathsMS, j.Spec.ID)
-	l.adviceCache.forget(j)
-	maps.DeleteFunc(l.stalls, func(id domain.TaskID, _ int) bool { return id.Job == j.Spec.ID })
-	for k := range j.Occurrences {
-		for s := range j.Spec.Steps {
-			delete(l.readySinceMS, stepKey{j.Spec.ID, k, s})
-		}
-	}
-}
-
 // stopJob requests the stop of all attempts of a job.
 func (l *Leader) stopJob(id domain.JobID, reason string) {
 	j := l.state.Job(id)
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -137,21 +137,6 @@
 	}
 }
 
-// avoidMembers avoids the workers of an attempt, or of all members of its gang, that have completed nothing since it
-// began. Which of them keeps the gang from working is not known.
-func (l *Leader) avoidMembers(now Time, a *attemptState) {
-	avoided := map[*session]bool{} // A worker may run several members.
-	for _, m := range l.members(a.task) {
-		if m != a && !l.isGang(a.task) {
-			continue
-		}
-		if s := l.sessions[m.incarnation.ID]; s != nil && s.incarnation == m.incarnation && s.doneAt < m.adoptedAt && !avoided[s] {
-			avoided[s] = true
-			s.avoid(now.Mono)
-		}
-	}
-}
-
 // watchProgress stops attempts that make no progress. A gang is stopped as a whole.
 func (l *Leader) watchProgress(now Time) {
 	for id, a := range l.attempts {
@@ -177,34 +162,6 @@
 	}
 }
 
-// Bounds of the time for which a worker gets no new attempts after a failure.
-const (
-	avoidFirst = 2500 * time.Millisecond // About the run time of a short task.
-	avoidMax   = 10 * time.Second
-)
-
-// avoid keeps new attempts from a worker for a while, twice as long after each further failure.
-func (s *session) avoid(now time.Duration) {
-	s.failedInARow++
-	s.avoidUntil = now + min(avoidMax, avoidFirst<<min(s.failedInARow-1, 4))
-}
-
-// failTogether tells whether the attempts of a step that fail on one worker have failed of one cause.
-func (l *Leader) failTogether(a *attemptState) bool {
-	step := l.stepOf(a)
-	return step.Gang || step.LongRunning
-}
-
-// failedBefore tells whether a failure of a step on the worker was counted within the shortest pause. Otherwise it notes one.
-func (s *session) failedBefore(now time.Duration, key stepKey) bool {
-	maps.DeleteFunc(s.failedSteps, func(_ stepKey, at time.Duration) bool { return now-at > avoidFirst })
-	if _, failed := s.failedSteps[key]; failed {
-		return true
-	}
-	s.failedSteps[key] = now
-	return false
-}
-
 // expireLeases declares all attempts on a silent worker lost once all leases that the worker can hold are over.
 func (l *Leader) expireLeases(now Time) {
 	for _, s := range l.sessions {
@@ -235,12 +192,6 @@
 	}
 }
 
-// noteLost logs an attempt whose task is taken back without an answer from its worker.
-func (l *Leader) noteLost(now Time, a *attemptState, cause string) {
-	l.options.Log("attempt_lost", "job", a.task.Job, "task", a.task.String(), "attempt", a.number, "worker", a.incarnation.ID, "cause", cause,
-		"confirmed", a.startConfirmed, "adopted_ms", (now.Mono - a.adoptedAt).Milliseconds())
-}
-
 // maxReleasedTasks is how many tasks of a schedule the occurrences may have that are released and not done, as many as the
 // domain accepts in one job. Without it, a schedule whose occurrences are all due takes more memory than a host has.
 const maxReleasedTasks = 20000
