domain: a run of a gang of which an earlier version has counted a member is not counted again

What callers saw: a job could be shown as failed after fewer failed runs than its queue allows, if its hosts were replaced by those of a later version while the members of a gang were reporting that they had failed.

Cause: the state of the earlier version does not name the run that was counted, so that the next member's end counted again.

Change: the failures of a gang never exceed the number of its runs. Commands carry a mark for it, as entries of the version before have to be applied as they were by its hosts.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -367,7 +367,7 @@
 		return
 	}
 	s.endsInFlight, s.hastyInARow = true, 0
-	l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Cursor: cursor, Ends: ends, OncePerRun: true}})
+	l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Cursor: cursor, Ends: ends, OncePerRun: true, WithinRuns: true}})
 }
 
 // sawRunning updates an attempt that a worker lists as running. It returns false if the domain has no such attempt on
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -188,7 +188,7 @@
 		s.endsInFlight, s.lossInFlight = true, true
 		l.options.Log("leases_over", "worker", s.incarnation.ID, "attempts", len(ends), "silent_ms", (now.Mono - s.answeredAt).Milliseconds(),
 			"lease_until_ms", s.leaseUntilMS, "clock_ms", s.clock.lowerBound(now.Mono), "leads_ms", (now.Mono - l.beganAt).Milliseconds())
-		l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Ends: ends, OncePerRun: true}})
+		l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Ends: ends, OncePerRun: true, WithinRuns: true}})
 	}
 }
 
--- a/internal/domain/apply_attempt.go
+++ b/internal/domain/apply_attempt.go
@@ -109,7 +109,7 @@
 	}
 	w.Cursor = max(w.Cursor, e.Cursor)
 	for _, x := range e.Ends {
-		m.endAttempt(e.Worker, x, e.OncePerRun, at)
+		m.endAttempt(e, x, at)
 	}
 	return Applied
 }
@@ -126,8 +126,8 @@
 		(x.Outcome == OutcomeDone && slices.Contains(t.LostAttempts, x.Attempt)))
 }
 
-// endAttempt records the end of one attempt on a worker. For oncePerRun see EndAttempts.
-func (m *StateMachine) endAttempt(incarnation WorkerIncarnation, x AttemptEnd, oncePerRun bool, at int64) {
+// endAttempt records one of the ends of a command.
+func (m *StateMachine) endAttempt(e *EndAttempts, x AttemptEnd, at int64) {
 	j := m.state.Jobs[x.Task.Job]
 	if j == nil {
 		return
@@ -136,7 +136,7 @@
 	if t == nil {
 		return
 	}
-	if t.Attempt != x.Attempt || t.Worker != incarnation {
+	if t.Attempt != x.Attempt || t.Worker != e.Worker {
 		m.endOldAttempt(j, t, x, at)
 		return
 	}
@@ -158,7 +158,7 @@
 		m.finishTask(j, x.Task)
 		m.completeIfDone(j, x.Task.Occurrence, at)
 	case OutcomeFailed:
-		m.failTask(j, x, incarnation.ID, oncePerRun, at)
+		m.failTask(j, x, e, at)
 	}
 }
 
@@ -232,21 +232,22 @@
 
 // failTask counts a failed attempt. The job fails when a task, or a gang as a whole, has failed MaxAttempts times.
 // Long-running tasks have no such limit.
-func (m *StateMachine) failTask(j *Job, x AttemptEnd, worker string, oncePerRun bool, at int64) {
+func (m *StateMachine) failTask(j *Job, x AttemptEnd, e *EndAttempts, at int64) {
 	step := &j.Spec.Steps[x.Task.Step]
 	tasks := j.Occurrences[x.Task.Occurrence].Steps[x.Task.Step]
 	holder := &tasks[x.Task.Index]
 	if step.Gang {
 		holder = &tasks[0]
 	}
-	if !slices.Contains(holder.FailedOn, worker) && len(holder.FailedOn) < maxFailedOn {
-		holder.FailedOn = append(holder.FailedOn, worker)
+	if !slices.Contains(holder.FailedOn, e.Worker.ID) && len(holder.FailedOn) < maxFailedOn {
+		holder.FailedOn = append(holder.FailedOn, e.Worker.ID)
 	}
-	if step.Gang && oncePerRun {
-		if holder.FailedRun == x.Attempt {
+	if step.Gang && e.OncePerRun {
+		counted := holder.FailedRun == x.Attempt || (e.WithinRuns && holder.Failures >= x.Attempt)
+		holder.FailedRun = x.Attempt
+		if counted {
 			return
 		}
-		holder.FailedRun = x.Attempt
 	}
 	holder.Failures++
 	if !step.LongRunning && holder.Failures >= j.Spec.MaxAttempts {
--- a/internal/domain/command.go
+++ b/internal/domain/command.go
@@ -77,6 +77,9 @@
 	// OncePerRun counts a failed run of a gang once. Entries of earlier versions lack it: each of their failed members counts,
 	// as it did on the hosts whose snapshots include them.
 	OncePerRun bool `cbor:"4,keyasint,omitempty"`
+	// WithinRuns keeps the failures of a gang from exceeding its runs: a version that counts each member may have counted the
+	// present run already. Entries of earlier versions lack it.
+	WithinRuns bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ReleaseOccurrences makes further occurrences of a scheduled job due, until Count of them are.
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -47,10 +47,17 @@
 
 func (f *fixture) end(id domain.TaskID, attempt int, outcome domain.Outcome, checkpoint string) {
 	f.do(domain.Command{End: &domain.EndAttempts{
-		Worker: f.incarnation, Ends: []domain.AttemptEnd{{Task: id, Attempt: attempt, Outcome: outcome, Checkpoint: checkpoint}}, OncePerRun: true,
+		Worker: f.incarnation, Ends: []domain.AttemptEnd{{Task: id, Attempt: attempt, Outcome: outcome, Checkpoint: checkpoint}}, OncePerRun: true, WithinRuns: true,
 	}})
 }
 
+// restore replaces the state by a snapshot of it.
+func restore(f *fixture) {
+	restored := domain.New()
+	Expect(restored.Restore(f.Snapshot())).To(Succeed())
+	f.StateMachine = restored
+}
+
 func id(job string, index int) domain.TaskID {
 	return domain.TaskID{Job: domain.JobID(job), Index: index}
 }
@@ -183,11 +190,7 @@
 		Expect(f.Job("g").Task(id("g", 0)).Failures).To(Equal(2))
 	},
 		Entry("in commands of their own", func(*fixture) {}),
-		Entry("with a snapshot between their ends", func(f *fixture) {
-			restored := domain.New()
-			Expect(restored.Restore(f.Snapshot())).To(Succeed())
-			f.StateMachine = restored
-		}),
+		Entry("with a snapshot between their ends", restore),
 	)
 
 	It("counts a failed run of a gang also after runs that failed alone or were lost", func() {
@@ -216,6 +219,36 @@
 		Expect(f.Job("g").Task(id("g", 0)).FailedRun).To(BeZero(), "snapshots of that version lack it")
 	})
 
+	DescribeTable("counts a run of a gang once of which an earlier version has counted a member", func(runs int, between func(f *fixture)) {
+		// Guards against a job that is given up since a run was counted twice: by the hosts of the version before, and by those after.
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "g", MaxAttempts: runs + 1, Steps: []domain.Step{{Count: 3, Gang: true}}})
+		fail := func(run, member int) {
+			f.do(domain.Command{End: &domain.EndAttempts{Worker: f.incarnation, Ends: []domain.AttemptEnd{{Task: id("g", member), Attempt: run, Outcome: domain.OutcomeFailed}}}})
+		}
+		for run := 1; run <= runs; run++ {
+			f.start(id("g", 0), id("g", 1), id("g", 2))
+			fail(run, 1)
+			if run < runs {
+				f.end(id("g", 0), run, domain.OutcomeGangBroken, "")
+				f.end(id("g", 2), run, domain.OutcomeGangBroken, "")
+			}
+		}
+		between(f)
+		f.end(id("g", 0), runs, domain.OutcomeFailed, "")
+		f.end(id("g", 2), runs, domain.OutcomeFailed, "")
+		Expect(f.Job("g").Task(id("g", 0)).Failures).To(Equal(runs))
+		Expect(f.Job("g").State).To(Equal(domain.JobRunning))
+		f.start(id("g", 0), id("g", 1), id("g", 2))
+		f.end(id("g", 2), runs+1, domain.OutcomeFailed, "")
+		Expect(f.Job("g").State).To(Equal(domain.JobFailed))
+	},
+		Entry("of one run, from its log", 1, func(*fixture) {}),
+		Entry("of one run, from its snapshot", 1, restore),
+		Entry("of the second run, from its log", 2, func(*fixture) {}),
+		Entry("of the second run, from its snapshot", 2, restore),
+	)
+
 	It("accepts a task as done if its attempt is listed as done after it was recorded as lost", func() {
 		// Guards against acknowledging and ignoring such an end: the task ran again, and the steps that depend on it
 		// waited.
--- a/internal/domain/random_commands_test.go
+++ b/internal/domain/random_commands_test.go
@@ -57,7 +57,7 @@
 			c.Start.Assignments = append(c.Start.Assignments, domain.Assignment{Task: task(), Worker: incarnation()})
 		}
 	case 7, 8:
-		c.End = &domain.EndAttempts{Worker: incarnation(), Cursor: int64(number()), OncePerRun: r.IntN(2) == 0}
+		c.End = &domain.EndAttempts{Worker: incarnation(), Cursor: int64(number()), OncePerRun: r.IntN(2) == 0, WithinRuns: r.IntN(2) == 0}
 		for range r.IntN(6) {
 			c.End.Ends = append(c.End.Ends, domain.AttemptEnd{Task: task(), Attempt: number(), Outcome: domain.Outcome(r.IntN(12)), Checkpoint: text("c")})
 		}
