dispatch: all members of a gang that is reclaimed are counted

What operators saw: attempts_reclaimed_total counted a gang that was stopped for urgent work as one attempt, or as some, whatever its number of members.

Cause: the plan names the attempts whose room is needed; the other members, which end with them, were stopped and not counted.

Change: what ends together is stopped and counted in one place.

Evidence: the new spec (a gang of three) counted 1 before, 3 after.

--- a/internal/dispatch/avoid.go
+++ b/internal/dispatch/avoid.go
@@ -37,10 +37,7 @@
 // began. Which of them keeps the gang from working is not known.
 func (l *Leader) avoidMembers(now Time, a *attemptState) {
 	avoided := map[*session]bool{} // A worker may run several members.
-	for _, m := range l.members(a.task) {
-		if m != a && !l.isGang(a.task) {
-			continue
-		}
+	for _, m := range l.endTogether(a) {
 		if s := l.sessions[m.incarnation.ID]; s != nil && s.incarnation == m.incarnation && s.doneAt < m.adoptedAt && !avoided[s] {
 			avoided[s] = true
 			s.avoid(now.Mono)
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -311,12 +311,9 @@
 // abandon stops an attempt. The stop also keeps a worker that has not started it from carrying out a start that arrives
 // late. The members of a gang are stopped together.
 func (l *Leader) abandon(a *attemptState, reason string) {
-	j := l.state.Job(a.task.Job)
-	if j != nil && j.Spec.Steps[a.task.Step].Gang {
-		l.stopGang(a.task, reason)
-		return
+	for _, m := range l.endTogether(a) {
+		l.requestStop(m, reason)
 	}
-	l.requestStop(a, reason)
 }
 
 // endsPerPage is how many ends a worker lists at most in one answer.
--- a/internal/dispatch/counts_test.go
+++ b/internal/dispatch/counts_test.go
@@ -12,14 +12,15 @@
 
 // counts is an observer that counts what leaders report.
 type counts struct {
-	ends    map[domain.Outcome]int
-	jobs    map[domain.JobState]int
-	unknown int
+	ends      map[domain.Outcome]int
+	jobs      map[domain.JobState]int
+	unknown   int
+	reclaimed int
 }
 
 func (*counts) AttemptBegun(int, time.Duration)                  {}
 func (c *counts) AttemptEnded(o domain.Outcome, _ time.Duration) { c.ends[o]++ }
-func (*counts) AttemptPreempted(int)                             {}
+func (c *counts) AttemptPreempted(int)                           { c.reclaimed++ }
 func (*counts) StartRejected(dispatch.Status)                    {}
 func (c *counts) UnknownAttempt()                                { c.unknown++ }
 func (c *counts) JobEnded(s domain.JobState, _ time.Duration)    { c.jobs[s]++ }
@@ -79,6 +80,19 @@
 		Expect(seen.jobs).To(Equal(map[domain.JobState]int{domain.JobCancelled: 1}))
 	})
 
+	It("is each attempt of a gang that is reclaimed as a whole", func() {
+		// Guards against a gang that counts as one attempt.
+		w := newWorld(6, 8)
+		seen := w.observed()
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "low", Priority: 2, Payload: "work=60000 gang=3", Steps: []domain.Step{gang(3, 8)}})
+		w.run(3 * time.Second)
+		w.submit(domain.JobSpec{ID: "urgent", Payload: "work=300", Steps: []domain.Step{step(6, 8)}})
+		w.run(10 * time.Second)
+		Expect(w.state("urgent")).To(Equal(domain.JobCompleted))
+		Expect(seen.reclaimed).To(Equal(3))
+	})
+
 	It("is an attempt that the domain does not place on its worker once, however many lists show it", func() {
 		// Guards against attempts that are counted once for each list until they have been stopped.
 		w := newWorld(5, 1)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -48,7 +48,9 @@
 	l.confirmReachable(now, &p)
 	for _, s := range p.Preemptions {
 		if a := l.attempts[s.Task]; a != nil && !a.stopWanted {
-			l.options.Observer.AttemptPreempted(l.state.Job(s.Task.Job).Spec.Priority)
+			for range l.endTogether(a) {
+				l.options.Observer.AttemptPreempted(l.state.Job(s.Task.Job).Spec.Priority)
+			}
 			l.options.Log("attempt_reclaimed", "job", s.Task.Job, "task", s.Task.String(), "attempt", a.number, "worker", a.incarnation.ID,
 				"for_job", s.For.Job)
 			l.abandon(a, "reclaimed for "+string(s.For.Job))
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -40,18 +40,11 @@
 		}
 		j := l.state.Job(id.Job)
 		if j != nil && j.Spec.Steps[id.Step].Gang {
-			l.stopGang(id, "a member did not start in time")
+			l.abandon(a, "a member did not start in time")
 		}
 	}
 }
 
-// stopGang requests the stop of all members of a gang.
-func (l *Leader) stopGang(id domain.TaskID, reason string) {
-	for _, a := range l.members(id) {
-		l.requestStop(a, reason)
-	}
-}
-
 // members returns the attempts of the step of a task.
 func (l *Leader) members(id domain.TaskID) []*attemptState {
 	j := l.state.Job(id.Job)
@@ -67,6 +60,14 @@
 	return out
 }
 
+// endTogether returns the attempts that end if one does: all members of its gang, or itself.
+func (l *Leader) endTogether(a *attemptState) []*attemptState {
+	if l.isGang(a.task) {
+		return l.members(a.task)
+	}
+	return []*attemptState{a}
+}
+
 // gangKey returns the identifier under which the members of a gang are counted together: that of the first one.
 func (l *Leader) gangKey(id domain.TaskID) domain.TaskID {
 	if l.isGang(id) {
