dispatch: the reason of an end is that of the time when it was listed

What operators saw, since ends are logged when they are committed: of the members of a gang that failed together, all but the first had the reason "failed", as if the leader had stopped them. The first commit had ended their job and asked for their stop.

Change: a stop that is asked for after the end was listed gives no reason.

--- a/internal/dispatch/counts_test.go
+++ b/internal/dispatch/counts_test.go
@@ -80,6 +80,22 @@
 		Expect(seen.jobs).To(Equal(map[domain.JobState]int{domain.JobCancelled: 1}))
 	})
 
+	It("is the reason of an end as it was when the end was listed", func() {
+		// Guards against members of a failed gang that seem to have been stopped, since the first end has ended their job.
+		w := newWorld(7, 3)
+		w.slowEnds(5 * time.Millisecond)
+		var reasons []any
+		w.log = func(event string, kv ...any) {
+			if event == "attempt_ended" {
+				reasons = append(reasons, kv[len(kv)-1])
+			}
+		}
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Payload: "work=300 gang=3 fail_runs=1", Steps: []domain.Step{gang(3, 8)}})
+		w.run(4 * time.Second)
+		Expect(reasons).To(Equal([]any{"", "", ""}))
+	})
+
 	It("is each attempt of a gang that is reclaimed as a whole", func() {
 		// Guards against a gang that counts as one attempt.
 		w := newWorld(6, 8)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -343,7 +343,9 @@
 func (l *Leader) requestStop(a *attemptState, reason string) {
 	if !a.stopWanted {
 		a.stopWanted = true
-		a.reason = reason
+		if a.endListedAt == 0 { // Otherwise it has ended for another reason.
+			a.reason = reason
+		}
 		a.nextTryAt = 0
 		a.tries = 0
 		l.unsettled[a.task] = a
