dispatch, corehost: the end of a job is counted by the leader that applies the command that ended it

What operators saw: since a new leader took all ended jobs with attempts for counted, also those whose end was committed when nobody led: no line told of their end. Before that, and still for a lost attempt that is listed as done later, a job was counted again by each leader that got the end of one of its attempts.

Cause: a leader can't know from the state who has counted; it can know from the command.

Change: a job has ended by a command if it has the command's time. Ends and cancels that a host applies after its election and before its leadership begins are logged and counted when it begins. An end may still be in the logs of two leaders, if the earlier one committed it and ended before it told the others.

--- a/internal/corehost/apply.go
+++ b/internal/corehost/apply.go
@@ -139,8 +139,11 @@
 		return domain.NotChanged, false
 	}
 	result := h.stateMachine.Apply(c)
-	if h.leader != nil {
+	switch {
+	case h.leader != nil:
 		h.leader.Applied(now, c, result)
+	case h.replica.Role() == replica.Leader && (c.End != nil || c.Cancel != nil):
+		h.appliedBefore = append(h.appliedBefore, c)
 	}
 	h.logApplied(c, result, e.Index)
 	return result, true
--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -95,7 +95,9 @@
 	leader       *dispatch.Leader
 	// leaderTerm is the term of the last leadership that began here. restartLeadership sets it to 0, so that another
 	// leadership may begin in the same term.
-	leaderTerm       uint64
+	leaderTerm uint64
+	// appliedBefore has the ends and cancels that were applied since this host was elected, before its leadership began.
+	appliedBefore    []*domain.Command
 	pendingProposals map[uint64]pendingProposal // By log index.
 	lastVoterCheck   time.Duration
 	knownHosts       []string // Addresses of the core hosts that are known here.
@@ -289,6 +291,12 @@
 		h.metrics.leaderships.Inc()
 		h.log.Info("leadership_began", "term", h.leaderTerm, "index", h.replica.CommitIndex(), "open_jobs", len(h.stateMachine.OpenJobs()),
 			"workers", len(h.stateMachine.Workers()))
+		for _, c := range h.appliedBefore {
+			h.leader.AppliedBefore(c)
+		}
+	}
+	if role != replica.Leader || h.leader != nil {
+		h.appliedBefore = nil
 	}
 }
 
--- a/internal/corehost/repair_test.go
+++ b/internal/corehost/repair_test.go
@@ -59,7 +59,7 @@
 	h, err := Open(Settings{
 		Address: address, Zone: "z-" + address, PeerPort: g.port, DataFolder: filepath.Join(g.folder, address), Founding: founding, Seeds: g.addresses, FaultTolerance: 1,
 		Dispatch: dispatch.Options{LeaseDuration: 10 * time.Second, GangWait: 3 * time.Second, ReportPeriod: time.Second, Retention: time.Minute},
-	}, Clients{}, NewMetrics(), logr.Discard())
+	}, Clients{Workers: silentWorkers{}}, NewMetrics(), logr.Discard())
 	ExpectWithOffset(1, err).NotTo(HaveOccurred(), "the folder can be read")
 	mux := http.NewServeMux()
 	mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(h))
--- a/internal/dispatch/counts_test.go
+++ b/internal/dispatch/counts_test.go
@@ -109,6 +109,41 @@
 		Expect(seen.reclaimed).To(Equal(3))
 	})
 
+	It("is the end of a job once, also if a lost attempt is listed as done after it", func() {
+		// Guards against a completed job that a new leader counts again.
+		w := newWorld(7, 3)
+		seen := w.observed()
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", Payload: "work=1500", Steps: []domain.Step{step(1, 1)}})
+		w.run(1500 * time.Millisecond)
+		id := w.stateMachine.Job("j").Task(domain.TaskID{Job: "j"}).Worker.ID
+		w.at(2400*time.Millisecond, func() { w.cutOff[id] = true })
+		w.run(30 * time.Second)
+		w.elect()
+		w.heal(id)
+		w.run(40 * time.Second)
+		Expect(seen.jobs).To(Equal(map[domain.JobState]int{domain.JobCompleted: 1}))
+	})
+
+	It("is an end that was committed after the election and before the leadership began", func() {
+		// Guards against a failed job of which no log tells the end.
+		w := newWorld(8, 3)
+		seen := w.observed()
+		w.run(time.Second)
+		w.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Payload: "work=60000 gang=3", Steps: []domain.Step{gang(3, 8)}})
+		w.run(3 * time.Second)
+		id := domain.TaskID{Job: "j"}
+		end := &domain.Command{AtMS: w.time().WallMS, End: &domain.EndAttempts{Worker: w.stateMachine.Job("j").Task(id).Worker, OncePerRun: true,
+			Ends: []domain.AttemptEnd{{Task: id, Attempt: 1, Outcome: domain.OutcomeFailed}}}}
+		w.stateMachine.Apply(end)
+		w.elect()
+		w.leader.AppliedBefore(end)
+		w.run(20 * time.Second)
+		Expect(w.stateMachine.EndedWithAttempts()).To(BeEmpty())
+		Expect(seen.jobs).To(Equal(map[domain.JobState]int{domain.JobFailed: 1}))
+		Expect(seen.ends[domain.OutcomeFailed]).To(Equal(1))
+	})
+
 	It("is an attempt that the domain does not place on its worker once, however many lists show it", func() {
 		// Guards against attempts that are counted once for each list until they have been stopped.
 		w := newWorld(5, 1)
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"time"
 
 	"github.com/mustardwalk/mustardwalk/internal/domain"
 )
@@ -76,15 +77,18 @@
 	if a == nil || a.number != e.Attempt || a.incarnation != incarnation {
 		return
 	}
-	j := l.state.Job(e.Task.Job)
-	ran := cmp.Or(a.endListedAt, now.Mono) - a.adoptedAt
+	l.logEnd(l.state.Job(e.Task.Job), incarnation, e, cmp.Or(a.endListedAt, now.Mono)-a.adoptedAt, a.reason)
+}
+
+// logEnd logs and counts the end of an attempt.
+func (l *Leader) logEnd(j *domain.Job, incarnation domain.WorkerIncarnation, e domain.AttemptEnd, ran time.Duration, reason string) {
 	l.options.Observer.AttemptEnded(e.Outcome, ran)
 	if e.Outcome == domain.OutcomeLost {
 		return // Logged by noteLost, with the cause.
 	}
 	l.options.Log("attempt_ended", "job", e.Task.Job, "task", e.Task.String(), "attempt", e.Attempt, "worker", incarnation.ID,
 		"outcome", e.Outcome.String(), "ran_ms", ran.Milliseconds(), "failed_runs", j.Task(l.gangKey(e.Task)).Failures, "max_attempts", j.Spec.MaxAttempts,
-		"reason", a.reason)
+		"reason", reason)
 }
 
 // attemptEnded handles the committed end of an attempt. It drops the state of a task that is on no worker any more, and
@@ -112,22 +116,33 @@
 	}
 }
 
-// noteEndedJobs logs and counts the jobs that an EndAttempts command has ended. Attempts of such a job may end later;
-// the end of the job is not logged and counted again for them.
-func (l *Leader) noteEndedJobs(c *domain.Command) {
-	for _, e := range c.End.Ends {
-		if j := l.state.Job(e.Task.Job); j != nil && j.State.Final() {
-			l.jobEnded(j)
+// AppliedBefore logs and counts what a command has ended that was applied after the host was elected and before this
+// leadership began. The leader that proposed it may have ended before it was committed.
+func (l *Leader) AppliedBefore(c *domain.Command) {
+	switch {
+	case c.End != nil:
+		for _, e := range c.End.Ends {
+			j := l.state.Job(e.Task.Job)
+			if j == nil {
+				continue
+			}
+			if t := j.Task(e.Task); t != nil && t.Attempt == e.Attempt && !t.Assigned() {
+				l.logEnd(j, c.End.Worker, e, milliseconds(c.AtMS-t.StartedMS), "")
+			}
+			l.noteEndedJob(c, e.Task.Job)
 		}
+	case c.Cancel != nil:
+		l.noteEndedJob(c, c.Cancel.Job)
 	}
 }
 
-// jobEnded logs and counts the end of a job once.
-func (l *Leader) jobEnded(j *domain.Job) {
-	if l.endedJobs[j.Spec.ID] {
+// noteEndedJob logs and counts the end of a job, once, if it was this command that ended it. Attempts of the job may end later.
+func (l *Leader) noteEndedJob(c *domain.Command, id domain.JobID) {
+	j := l.state.Job(id)
+	if j == nil || !j.State.Final() || j.EndedMS != c.AtMS || l.endedJobs[id] {
 		return
 	}
-	l.endedJobs[j.Spec.ID] = true
+	l.endedJobs[id] = true
 	age := j.EndedMS - j.AcceptedMS
 	l.options.Observer.JobEnded(j.State, milliseconds(age))
 	l.options.Log("job_ended", "job", j.Spec.ID, "state", j.State.String(), "age_ms", age, "failed_runs", j.FailedRuns(), "max_attempts", j.Spec.MaxAttempts)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -142,9 +142,6 @@
 			s.holdNow = true
 		}
 	}
-	for id := range state.EndedWithAttempts() {
-		l.endedJobs[id] = true // Their ends were counted by the leaders that applied them.
-	}
 	l.stopNotNeeded(now)
 	l.inheritPaces()
 	return l
@@ -288,14 +285,14 @@
 			l.noteCommittedEnd(now, c.End.Worker, e)
 			l.attemptEnded(now, e)
 		}
-		l.noteEndedJobs(c)
+		for _, e := range c.End.Ends {
+			l.noteEndedJob(c, e.Task.Job)
+		}
 	case c.Cancel != nil:
 		if r != domain.NotFound { // Otherwise the job, if there is one, belongs to another workspace.
 			l.stopJob(c.Cancel.Job, "cancelled")
 		}
-		if r == domain.Applied {
-			l.jobEnded(l.state.Job(c.Cancel.Job))
-		}
+		l.noteEndedJob(c, c.Cancel.Job)
 	case c.Register != nil, c.Forget != nil:
 		l.dropStale(now)
 	case c.Release != nil:
