dispatch: failures of tasks that last do not add up to long pauses of their worker

On the other hand a task that always fails was started some 25 times a second on the only worker that it fits.

Cause: each failure counted as one more of the worker, and a task that had failed once, even on this worker, never counted again.

Change: a failure of a task that lasts gives the shortest pause and does not lengthen the next. A failure counts unless the task has failed on another worker too. The counted gangs of a worker are forgotten when something is done there.

--- a/internal/dispatch/avoid.go
+++ b/internal/dispatch/avoid.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -17,20 +18,34 @@
 	s.avoidUntil = now + min(avoidMax, avoidFirst<<min(s.failedInARow-1, 4))
 }
 
-// failTogether tells whether the attempts of a step that fail on one worker have failed of one cause.
-func (l *Leader) failTogether(a *attemptState) bool {
-	step := l.stepOf(a)
-	return step.Gang || step.LongRunning
+// attemptFailed keeps new attempts from a worker on which an attempt has failed, unless its task has failed on another one
+// too: then the task is the likelier cause.
+func (l *Leader) attemptFailed(now Time, s *session, a *attemptState) {
+	j := l.state.Job(a.task.Job)
+	if j == nil {
+		return
+	}
+	elsewhere := func(worker string) bool { return worker != s.incarnation.ID }
+	if slices.ContainsFunc(j.Task(l.gangKey(a.task)).FailedOn, elsewhere) {
+		return
+	}
+	switch step := l.stepOf(a); {
+	case step.LongRunning: // It may fail at any time by its own fault and has to be back soon, so its failures do not add up.
+		s.avoidUntil = max(s.avoidUntil, now.Mono+avoidFirst)
+	case step.Gang:
+		s.gangFailed(now.Mono, keyOf(a.task))
+	default:
+		s.avoid(now.Mono)
+	}
 }
 
-// failedBefore tells whether a failure of a step on the worker was counted within the shortest pause. Otherwise it notes one.
-func (s *session) failedBefore(now time.Duration, key stepKey) bool {
-	maps.DeleteFunc(s.failedSteps, func(_ stepKey, at time.Duration) bool { return now-at > avoidFirst })
-	if _, failed := s.failedSteps[key]; failed {
-		return true
+// gangFailed counts the failure of a gang. Its members on the worker fail together and are reported one by one.
+func (s *session) gangFailed(now time.Duration, gang stepKey) {
+	maps.DeleteFunc(s.failedGangs, func(_ stepKey, at time.Duration) bool { return now-at > avoidFirst })
+	if _, counted := s.failedGangs[gang]; !counted {
+		s.failedGangs[gang] = now
+		s.avoid(now)
 	}
-	s.failedSteps[key] = now
-	return false
 }
 
 // avoidMembers avoids the workers of an attempt, or of all members of its gang, that have completed nothing since it
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -39,15 +39,9 @@
 	switch e.Outcome {
 	case domain.OutcomeDone:
 		s.failedInARow, s.avoidUntil, s.doneAt = 0, 0, now.Mono
+		clear(s.failedGangs)
 	case domain.OutcomeFailed:
-		j := l.state.Job(e.Task.Job)
-		if j == nil {
-			return
-		}
-		// If the task has failed elsewhere, the task is the likelier cause.
-		if t := j.Task(l.gangKey(e.Task)); len(t.FailedOn) == 0 && !(l.failTogether(a) && s.failedBefore(now.Mono, keyOf(e.Task))) {
-			s.avoid(now.Mono)
-		}
+		l.attemptFailed(now, s, a)
 	}
 }
 
--- a/internal/dispatch/gang_failure_test.go
+++ b/internal/dispatch/gang_failure_test.go
@@ -70,19 +70,38 @@
 		Expect(w.completedAfter("a", 20*time.Second)).To(BeNumerically("<", 7*time.Second))
 	})
 
-	It("is avoided once for tasks that last and fail there together", func() {
-		// Guards against tasks that start again after 10 s, because three of one step have failed on their worker at once.
+	DescribeTable("is avoided for the shortest pause after tasks that last have failed there", func(jobs, tasks int, apart time.Duration) {
+		// Guards against tasks that start again after 10 s, because three of one step, or of several jobs, have failed on their worker.
 		w := newWorld(1, 1)
-		w.run(time.Second)
-		lasting := step(3, 1)
-		lasting.LongRunning = true
-		w.submit(domain.JobSpec{ID: "j", Payload: "work=100000 fail_runs=1", Steps: []domain.Step{lasting}})
-		w.run(1100 * time.Millisecond)
-		began := w.now
-		for w.starts < 6 && w.now < began+20*time.Second {
-			w.run(w.now + 10*time.Millisecond)
+		for i := range jobs {
+			w.run(time.Second + time.Duration(i)*apart)
+			lasting := step(tasks, 1)
+			lasting.LongRunning = true
+			w.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprint("j", i)), Payload: "work=1000000 fail_runs=1", Steps: []domain.Step{lasting}})
+			began := w.now
+			if i < jobs-1 && apart == 0 {
+				continue
+			}
+			w.run(w.now + 100*time.Millisecond)
+			for w.starts < 2*tasks*(i+1) && w.now < began+20*time.Second {
+				w.run(w.now + 10*time.Millisecond)
+			}
+			Expect(w.now-began).To(BeNumerically("<", onePause), "job %d", i)
 		}
-		Expect(w.now - began).To(BeNumerically("<", onePause))
+	},
+		Entry("three of one step at once", 1, 3, time.Duration(0)),
+		Entry("one of each of three jobs at once", 3, 1, time.Duration(0)),
+		Entry("one of each of five jobs, one job after the other", 5, 1, 30*time.Second),
+	)
+
+	It("is avoided again if a task fails there that has failed nowhere else", func() {
+		// Guards against some hundred starts a second of a task that always fails, on the only worker that it fits.
+		w := newWorld(1, 1)
+		lasting := step(1, 1)
+		lasting.LongRunning = true
+		w.submit(domain.JobSpec{ID: "j", Payload: "fail=true", Steps: []domain.Step{lasting}})
+		w.run(21 * time.Second)
+		Expect(w.starts).To(BeNumerically("~", 8, 1))
 	})
 
 	It("is avoided once for a gang that stands still there, however many of its members run there", func() {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -40,7 +40,7 @@
 	probedAt       time.Duration             // When that was asked for.
 	doneAt         time.Duration             // When an attempt on it last ended as done.
 	failedInARow   int                       // Consecutive failures that count against the worker.
-	failedSteps    map[stepKey]time.Duration // Steps that have failed there lately, and when, see failedBefore.
+	failedGangs    map[stepKey]time.Duration // Gangs that have failed there lately, and when, see gangFailed.
 	hastyInARow    int                       // Holds answered too early in a row, see pauseIfHasty.
 	rejectedInARow int                       // Starts rejected since the last confirmed one.
 	avoidUntil     time.Duration             // Until then, the worker gets no new attempts.
