--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -53,7 +53,8 @@
 	commitDelay     time.Duration                                     // Time until a proposal is applied.
 	log             func(event string, kv ...any)
 	observer        dispatch.Observer
-	onLoss          func()        // Called when a command that declares attempts lost is proposed.
+	onLoss          func() // Called when a command that declares attempts lost is proposed.
+	beforeApply     func(*domain.Command)
 	tickTime        time.Duration // Real time that the leader's decisions have taken.
 	longestTick     time.Duration
 	releases        int // Proposed commands that add occurrences.
@@ -79,7 +80,7 @@
 func newWorld(seed uint64, workers int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), stateMachine: domain.New(), gangs: simworker.NewGangs(), cutOff: map[string]bool{},
-		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commitDelay: usualCommitDelay, delayedCalls: map[string][]func(){}, onLoss: func() {},
+		running: map[domain.TaskID]simworker.Event{}, done: map[domain.TaskID]bool{}, commitDelay: usualCommitDelay, delayedCalls: map[string][]func(){}, onLoss: func() {}, beforeApply: func(*domain.Command) {},
 		log: func(string, ...any) {}, answerDelay: func(dispatch.Call, dispatch.Reply) time.Duration { return 0 },
 		refuse:       func(dispatch.Call) dispatch.Status { return dispatch.OK },
 		changeAnswer: func(dispatch.Call, *dispatch.Reply) {},
@@ -182,6 +183,7 @@
 		panic(err)
 	}
 	w.noteDone(decoded)
+	w.beforeApply(decoded)
 	r := w.stateMachine.Apply(decoded)
 	if w.leader != nil {
 		w.leader.Applied(w.time(), decoded, r)
