--- a/internal/corehost/old_data_test.go
+++ b/internal/corehost/old_data_test.go
@@ -28,22 +28,32 @@
 	Expect(h.store.close()).To(Succeed())
 }
 
+// copyRecords copies a file of testdata into a new data folder, and returns the folder and the content of the file.
+func copyRecords(file string) (string, *replica.Restored) {
+	folder := GinkgoT().TempDir()
+	data, err := os.ReadFile(filepath.Join("testdata", file))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.WriteFile(filepath.Join(folder, "records.wal"), data, 0o600)).To(Succeed())
+	opened, state, err := wal.Open(folder)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(opened.Close()).To(Succeed())
+	return folder, state.Groups[groupName]
+}
+
+// recordedHosts returns the core hosts of a file of testdata. The file is that of the second one.
+func recordedHosts(network string) []string {
+	return []string{network + ".1.1", network + ".1.2", network + ".1.3"}
+}
+
 // The files are the records of core hosts of landing 44a5083, as its processes wrote them: a configuration, a completed
 // job, one that runs or is completed too, a worker, and the report of another writer whose identifier is not valid UTF-8. Each of these
 // hosts had ended with "cbor: invalid UTF-8 string", at each start.
 var _ = Describe("the folder of a host of an earlier version", func() {
 	DescribeTable("with an entry that it could not decode is read in full", func(file, network string, snapshot bool, second domain.JobState) {
-		folder := GinkgoT().TempDir()
-		data, err := os.ReadFile(filepath.Join("testdata", file))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(os.WriteFile(filepath.Join(folder, "records.wal"), data, 0o600)).To(Succeed())
-		opened, state, err := wal.Open(folder)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(opened.Close()).To(Succeed())
-		old := state.Groups[groupName]
+		folder, old := copyRecords(file)
 		Expect(old.Snapshot.Index > 0).To(Equal(snapshot))
 		last := old.Entries[len(old.Entries)-1]
-		seeds := []string{network + ".1.1", network + ".1.2", network + ".1.3"}
+		seeds := recordedHosts(network)
 		leader := replica.Member{Host: seeds[2], Incarnation: replica.FoundingIncarnation, Disk: true}
 		term := old.HardState.Term + 1
 
