cell: a run of a gang whose members fail together counts as one failed run

What callers of the own interface saw: a gang whose members failed on three workers in its first run ended as failed, although a job is given up only after failures on three distinct workers in three runs.

Cause: EndAttempt named every worker on which a member had failed, and the limit of the job counts these names, so that one run was counted once for each member.

Change: the leader names one worker that the run counts against, one that is not counted yet if there is any, and the others in a new field. These are avoided like the first one and count against their workers for quarantine as before, but not for the limit of the job. Entries of earlier versions are applied as they were.

Evidence: the new spec with three members that fail together showed the job ended after one run before, and after exactly three runs now. A spec applies an entry as earlier versions log it.

--- a/internal/cell/apply_attempt.go
+++ b/internal/cell/apply_attempt.go
@@ -68,6 +68,11 @@
 			j.FailedWorkers = append(j.FailedWorkers, w)
 		}
 	}
+	for _, w := range c.AlsoFailed {
+		if !slices.Contains(j.AlsoFailedWorkers, w) {
+			j.AlsoFailedWorkers = append(j.AlsoFailedWorkers, w)
+		}
+	}
 	if c.Checkpointed {
 		j.ResumeFrom = a.ID
 	}
--- a/internal/cell/dump.go
+++ b/internal/cell/dump.go
@@ -50,6 +50,7 @@
 	MayHaveRun    bool     `json:"may_have_run,omitempty"`
 	Cancelled     bool     `json:"cancelled,omitempty"`
 	FailedWorkers []string `json:"failed_workers,omitempty"`
+	AlsoFailed    []string `json:"also_failed_workers,omitempty"`
 	HandedTo      string   `json:"handed_to,omitempty"`
 	Outcome       string   `json:"outcome,omitempty"`
 }
@@ -152,7 +153,7 @@
 func dumpJob(j *table.Job) JobDump {
 	v := JobDump{ID: j.ID, Workspace: j.Workspace, State: nameOf(stateNames[:], j.State), Attempt: j.Attempt,
 		Attempts: j.AttemptCount, Sequence: j.Sequence, NoRepeat: j.NoRepeat, MayHaveRun: j.MayHaveRun,
-		Cancelled: j.Cancelled, FailedWorkers: j.FailedWorkers, HandedTo: j.HandedTo}
+		Cancelled: j.Cancelled, FailedWorkers: j.FailedWorkers, AlsoFailed: j.AlsoFailedWorkers, HandedTo: j.HandedTo}
 	if j.State == table.JobHandedOver {
 		v.State = "handed_over"
 	}
--- a/internal/cell/result_test.go
+++ b/internal/cell/result_test.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/mustardwalk/mustardwalk/internal/cell"
 	"github.com/mustardwalk/mustardwalk/internal/endpoint"
+	"github.com/mustardwalk/mustardwalk/internal/table"
 )
 
 var _ = Describe("A result", func() {
@@ -121,6 +123,38 @@
 		Expect(w.get("j").Answer.Outcome).To(Equal("failed"))
 	})
 
+	// Guards against a job that is given up after one run of its gang, because each member that failed was counted.
+	It("of a failure of all members of a gang counts as one failed run", func() {
+		w = newWorld(3)
+		for _, e := range w.endpoints {
+			e.outcome = endpoint.OutcomeFailed
+		}
+		w.ask(submit(job("j", 3)))
+		Eventually(func() int { w.run(25 * time.Millisecond); return len(w.reports) }).Should(Equal(1))
+		Expect(w.tables().Job("j").State).NotTo(Equal(table.JobEnded))
+		Expect(w.tables().Job("j").FailedWorkers).To(HaveLen(1))
+		Expect(w.reports[0].FailedWorkers).To(ConsistOf("w0", "w1", "w2"), "each counts against its worker")
+		w.run(20 * time.Second)
+		Expect(w.get("j").Answer.Outcome).To(Equal("failed"))
+		Expect(w.tables().Job("j").AttemptCount).To(Equal(3))
+		Expect(w.tables().Job("j").FailedWorkers).To(ConsistOf("w0", "w1", "w2"))
+	})
+
+	It("of a failure that an earlier version has logged with all its workers is applied as before", func() {
+		w = newWorld(3)
+		for _, e := range w.endpoints {
+			e.runFor = time.Hour
+		}
+		w.ask(submit(job("j", 3)))
+		w.run(time.Second)
+		end := &cell.EndAttempt{Attempt: "j/1", Outcome: endpoint.OutcomeFailed, FailedWorkers: []string{"w0", "w1", "w2"}, MayHaveRun: true}
+		entry, err := cbor.Marshal(cell.Batch{Commands: []cell.Command{{EndAttempt: end}}})
+		Expect(err).NotTo(HaveOccurred())
+		w.commit(entry)
+		Expect(w.tables().Job("j").FailedWorkers).To(Equal([]string{"w0", "w1", "w2"}))
+		Expect(w.tables().Job("j").Answer.Outcome).To(Equal(table.JobFailed))
+	})
+
 	It("of a failure ends a no-repeat job", func() {
 		w = newWorld(2)
 		w.endpoints["w1"].outcome = endpoint.OutcomeFailed
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mustardwalk/mustardwalk/internal/endpoint"
@@ -108,7 +109,7 @@
 		}
 	}
 	c := e.command.EndAttempt
-	report := system.AttemptReport{Job: e.job, Workers: workersOf(e.attempt), FailedWorkers: c.FailedWorkers,
+	report := system.AttemptReport{Job: e.job, Workers: workersOf(e.attempt), FailedWorkers: slices.Concat(c.FailedWorkers, c.AlsoFailed),
 		Succeeded: c.Outcome == endpoint.OutcomeSucceeded}
 	if e.attempt.State == table.AttemptRunning {
 		report.RunTime = now - e.attempt.RunningAt
--- a/internal/cell/stop.go
+++ b/internal/cell/stop.go
@@ -1,10 +1,12 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mustardwalk/mustardwalk/internal/endpoint"
 	"github.com/mustardwalk/mustardwalk/internal/system"
+	"github.com/mustardwalk/mustardwalk/internal/table"
 )
 
 const (
@@ -191,17 +193,19 @@
 func (d *dispatcher) proposeEnd(r *trackedAttempt) {
 	r.phase = phaseEnded
 	e := &EndAttempt{Attempt: r.attempt.ID, Outcome: endpoint.OutcomeNeverRan, Message: r.stopReason, Checkpointed: true}
+	var failed []string
 	for i := range r.members {
 		m := &r.members[i]
 		e.MayHaveRun = e.MayHaveRun || m.mayHaveRun()
 		e.Checkpointed = e.Checkpointed && m.checkpointed
 		if m.result != nil && m.result.Outcome == endpoint.OutcomeFailed {
-			if len(e.FailedWorkers) == 0 {
+			if len(failed) == 0 {
 				e.Message = m.result.Message
 			}
-			e.FailedWorkers = append(e.FailedWorkers, r.attempt.Members[i].Worker)
+			failed = append(failed, r.attempt.Members[i].Worker)
 		}
 	}
+	e.FailedWorkers, e.AlsoFailed = countFailure(d.tables.Job(r.attempt.Job), failed)
 	first := r.members[0].result
 	switch {
 	case len(e.FailedWorkers) > 0:
@@ -217,6 +221,21 @@
 	d.cell.propose(Command{EndAttempt: e})
 }
 
+// countFailure chooses, of the workers on which members of an attempt failed, the one that the failure counts against, and
+// returns the others. An attempt counts against one further worker, also if several members of its gang failed.
+func countFailure(j *table.Job, failed []string) (counted, others []string) {
+	if len(failed) == 0 {
+		return nil, nil
+	}
+	i := max(0, slices.IndexFunc(failed, func(w string) bool { return !slices.Contains(j.FailedWorkers, w) }))
+	for _, w := range failed {
+		if w != failed[i] && !slices.Contains(others, w) {
+			others = append(others, w)
+		}
+	}
+	return failed[i : i+1], others
+}
+
 // mayHaveRun reports whether the member may have passed its gate.
 func (m *member) mayHaveRun() bool {
 	switch {
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -60,7 +60,7 @@
 func jobToAccept(q *SubmitRequest) table.Job {
 	j := q.Job
 	if !q.HandedOver {
-		j.AttemptCount, j.FailedWorkers, j.ResumeFrom, j.MayHaveRun = 0, nil, "", false
+		j.AttemptCount, j.FailedWorkers, j.AlsoFailedWorkers, j.ResumeFrom, j.MayHaveRun = 0, nil, nil, "", false
 	}
 	return j
 }
--- a/internal/cell/types.go
+++ b/internal/cell/types.go
@@ -64,10 +64,13 @@
 	SHA256  string           `cbor:"5,keyasint,omitempty"`
 	// MayHaveRun is false only if it is certain that no member passed its start gate.
 	MayHaveRun bool `cbor:"6,keyasint,omitempty"`
-	// FailedWorkers lists the workers whose members failed.
+	// FailedWorkers holds the worker that the failure counts against. Entries of earlier versions hold all workers whose
+	// members failed.
 	FailedWorkers []string `cbor:"7,keyasint,omitempty"`
 	// Checkpointed is set if all members wrote a checkpoint, from which the next attempt can resume.
 	Checkpointed bool `cbor:"8,keyasint,omitempty"`
+	// AlsoFailed lists the other workers whose members failed.
+	AlsoFailed []string `cbor:"9,keyasint,omitempty"`
 }
 
 // FinishQueued ends a queued job with an answer, without running it.
--- a/internal/system/avoid.go
+++ b/internal/system/avoid.go
@@ -10,10 +10,16 @@
 // workersToAvoid returns the workers on which a job failed, so that it is tried on others. If the other usable workers
 // cannot hold its shape even when empty, it returns none: the job would otherwise stay queued forever in a small zone.
 func (p *Policy) workersToAvoid(j *table.Job) []string {
-	if len(j.FailedWorkers) == 0 || !p.fitsWithout(j.Shape, j.FailedWorkers) {
+	if len(j.FailedWorkers) == 0 {
 		return nil
 	}
-	return j.FailedWorkers
+	if all := slices.Concat(j.FailedWorkers, j.AlsoFailedWorkers); p.fitsWithout(j.Shape, all) {
+		return all
+	}
+	if p.fitsWithout(j.Shape, j.FailedWorkers) {
+		return j.FailedWorkers
+	}
+	return nil
 }
 
 // fitsWithout tells whether the usable workers, other than the given ones, can hold a shape when they are empty.
--- a/internal/system/policy_test.go
+++ b/internal/system/policy_test.go
@@ -290,6 +290,22 @@
 	})
 })
 
+var _ = Describe("A gang of which several members failed together", func() {
+	It("is retried on other workers than all of theirs", func() {
+		z := newZone(1, 3, workspace("a", 1))
+		j := z.submit("a", table.Bulk, oneAccelerator)
+		j.FailedWorkers, j.AlsoFailedWorkers = []string{"r0-w0"}, []string{"r0-w1"}
+		Expect(z.tick(time.Second).Placements).To(ConsistOf(HaveField("Members", Equal([]string{"r0-w2"}))))
+	})
+
+	It("is retried on others than the one that was counted if the zone has no more", func() {
+		z := newZone(1, 3, workspace("a", 1))
+		j := z.submit("a", table.Bulk, table.Shape{Gang: 2, Accelerators: 8, Adjacency: table.SameRack})
+		j.FailedWorkers, j.AlsoFailedWorkers = []string{"r0-w0"}, []string{"r0-w1"}
+		Expect(z.tick(time.Second).Placements).To(ConsistOf(HaveField("Members", ConsistOf("r0-w1", "r0-w2"))))
+	})
+})
+
 var _ = Describe("Admit", func() {
 	DescribeTable("a submission is refused with the reason",
 		func(change func(ws *table.Workspace, j *table.Job), code system.RefusalCode) {
--- a/internal/system/quarantine.go
+++ b/internal/system/quarantine.go
@@ -251,5 +251,7 @@
 }
 
 func failedOnAny(j *table.Job, members []*table.Worker) bool {
-	return slices.ContainsFunc(members, func(w *table.Worker) bool { return slices.Contains(j.FailedWorkers, w.ID) })
+	return slices.ContainsFunc(members, func(w *table.Worker) bool {
+		return slices.Contains(j.FailedWorkers, w.ID) || slices.Contains(j.AlsoFailedWorkers, w.ID)
+	})
 }
--- a/internal/table/entities.go
+++ b/internal/table/entities.go
@@ -88,7 +88,7 @@
 	State             JobState `cbor:"11,keyasint,omitempty"`
 	Attempt           string   `cbor:"12,keyasint,omitempty"` // Identifier of the current or last attempt.
 	AttemptCount      int      `cbor:"13,keyasint,omitempty"`
-	FailedWorkers     []string `cbor:"14,keyasint,omitempty"` // Distinct workers on which an attempt failed.
+	FailedWorkers     []string `cbor:"14,keyasint,omitempty"` // Distinct workers on which an attempt failed, one for each attempt.
 	Cancelled         bool     `cbor:"15,keyasint,omitempty"` // Cancellation was requested.
 	ResumeFrom        string   `cbor:"16,keyasint,omitempty"` // Attempt from whose checkpoint the next attempt resumes.
 	Answer            *Answer  `cbor:"17,keyasint,omitempty"`
@@ -98,6 +98,8 @@
 	MayHaveRun bool `cbor:"20,keyasint,omitempty"`
 	// Zone restricts the job to one availability zone; empty for any.
 	Zone string `cbor:"21,keyasint,omitempty"`
+	// AlsoFailedWorkers lists workers on which further members of a failed gang failed. They are avoided and not counted.
+	AlsoFailedWorkers []string `cbor:"22,keyasint,omitempty"`
 
 	AppliedAt time.Duration `cbor:"-"` // Local: when this replica applied the entry that accepted the job.
 	EndedAt   time.Duration `cbor:"-"` // Local: when this replica applied the entry that ended the job.
