system: a failed probe of a worker counts once, also if several members of its gang ran there

What operators saw: a quarantined worker stayed out of use longer than its failed probes call for, if it had been probed by a gang with more than one member on it.

Cause: the report of an attempt named the worker once for each member that failed, and each name doubled the time to the next probe.

Change: the workers of a report are counted once each.

--- a/internal/system/policy_test.go
+++ b/internal/system/policy_test.go
@@ -259,6 +259,26 @@
 		Expect(isRunning(z, waiting[1])).To(BeTrue())
 	})
 
+	// Guards against probes that are delayed twice as long because two members of the probing gang failed on the worker.
+	It("counts a failed probe once, also if several members of its gang failed on the worker", func() {
+		z := newZone(1, 1, workspace("a", 1))
+		for range 3 {
+			z.end(z.submitAndTick("a", table.Bulk, oneAccelerator, 1)[0], table.JobEnded, false, true)
+		}
+		j := z.submit("a", table.Bulk, oneAccelerator)
+		probes := func() bool { return len(z.tick(time.Second).Placements) > 0 }
+		for !probes() {
+		}
+		z.policy.AttemptEnded(z.now, system.AttemptReport{Job: j, Workers: []string{"r0-w0"}, FailedWorkers: []string{"r0-w0", "r0-w0"}})
+		z.tables.RemoveAttempt(j.Attempt)
+		z.tables.SetJobState(j, table.JobEnded)
+		z.submit("a", table.Bulk, oneAccelerator)
+		failedAt := z.now
+		for !probes() {
+		}
+		Expect(z.now-failedAt).To(BeNumerically("~", time.Minute, 2*time.Second), "twice the first interval")
+	})
+
 	It("does not probe with a job that must not be repeated or has only one try left", func() {
 		z := newZone(1, 1, workspace("a", 1))
 		for range 3 {
--- a/internal/system/quarantine.go
+++ b/internal/system/quarantine.go
@@ -40,7 +40,7 @@
 		}
 		return
 	}
-	for _, id := range r.FailedWorkers {
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(r.FailedWorkers))) { // Several members may run on one worker.
 		p.recordFailure(now, id, r.Job.ID)
 	}
 	for _, id := range r.Workers {
