eventlog: lines lost by a failed write are counted each, and the report of lost lines is repeated

What operators saw: after the output had failed, as when its disk is full, log_lines_dropped named far fewer lines than were lost, or did not appear at all.

Cause: a failed write counted as one line, although it holds up to 16 kB of them, and a report that was in it counted as given.

Change: the lines of a failed write count each, and a report counts as given only once it is written.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -5,6 +5,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 	"log/slog"
 	"sync"
@@ -113,15 +114,19 @@
 				more = false
 			}
 		}
-		if n := l.dropped.Load(); n > reported {
+		lines := len(buffer)
+		dropped := l.dropped.Load()
+		if dropped > reported {
 			buffer = append(buffer, "event=log_lines_dropped total="...)
-			buffer = appendUint(buffer, n)
+			buffer = appendUint(buffer, dropped)
 			buffer = append(buffer, '\n')
-			reported = n
 		}
-		if _, err := w.Write(buffer); err != nil {
-			l.dropped.Add(1) // There is no other output to report the error on.
+		written, err := w.Write(buffer)
+		if err != nil { // There is no other output to report the error on.
+			l.dropped.Add(uint64(bytes.Count(buffer[min(written, lines):lines], []byte{'\n'})))
+			continue
 		}
+		reported = dropped
 	}
 }
 
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,6 +34,20 @@
 	return g.b.String()
 }
 
+// failingWriter is a writer of which all writes fail as long as fails is set.
+type failingWriter struct {
+	gatedWriter
+	fails atomic.Bool
+}
+
+func (f *failingWriter) Write(p []byte) (int, error) {
+	<-f.open
+	if f.fails.Load() {
+		return 0, errors.New("no space left")
+	}
+	return f.gatedWriter.Write(p)
+}
+
 var _ = Describe("the event log", func() {
 	It("writes one key=value line per event", func() {
 		g := &gatedWriter{open: make(chan struct{})}
@@ -88,6 +104,23 @@
 		Expect(g.String()).To(MatchRegexp(`^time=\S+ event=request id="a\\nevent=forged\\x1b\[2J\\xff" cause=x{512}\.\.\.\n$`))
 	})
 
+	// Guards against lost lines that are not reported: a failed write counted as one, and could take the report with it.
+	It("counts each line of a write that failed, and reports them once the output works again", func() {
+		f := &failingWriter{gatedWriter: gatedWriter{open: make(chan struct{})}}
+		f.fails.Store(true)
+		l := eventlog.New(f)
+		for range 3000 { // More than are queued.
+			l.Logger.Info("event")
+		}
+		close(f.open)
+		Eventually(func() uint64 { return l.Dropped() }).Should(BeEquivalentTo(3000))
+		f.fails.Store(false)
+		l.Logger.Info("last")
+		Eventually(f.String).Should(ContainSubstring("event=last\n"))
+		l.Close()
+		Expect(f.String()).To(ContainSubstring("event=log_lines_dropped total=3000\n"))
+	})
+
 	It("drops lines after Close instead of panicking", func() {
 		g := &gatedWriter{open: make(chan struct{})}
 		close(g.open)
