entryhost: a leader that has confirmed since is not given up for an earlier request

What callers saw: entry hosts that were not ready for up to 0.4 s at a time, and requests that waited, after an outage of the leader was over.

Cause: each request that was under way in an outage made the host forget the leader when its time was over, up to 1.2 s later, also if the leader had answered in the meantime: one outage counted once for each request that had met it.

Change: a failed request, or one that its receiver has refused as not the leader, counts only if the leader has not confirmed since the request was sent.

Evidence: in the new spec, with a leader that answers all probes and leaves one call unanswered, the host was not ready 1.2 s after the call before; it stays ready now. A second spec shows that a later failure still makes it forget the leader.

--- a/internal/entryhost/entry.go
+++ b/internal/entryhost/entry.go
@@ -295,10 +295,11 @@
 func (h *Host) sendTo(ctx context.Context, host string, in *rpc.CallRequest) (a service.Answer, certain bool) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	sent := time.Now()
 	out, err := h.domain(host).Call(ctx, in)
 	if err != nil {
 		h.log.Info("request_not_passed_on", "request", in.Trace, "host", host, "cause", err.Error())
-		h.dropLeader(host)
+		h.dropLeader(host, sent)
 		return service.Answer{Verdict: service.Unknown}, false
 	}
 	a = service.Answer{
@@ -307,7 +308,7 @@
 	}
 	switch a.Verdict {
 	case service.NotLeader:
-		h.redirect(host, out.Leader)
+		h.redirect(host, out.Leader, sent)
 		return a, false
 	case service.Unknown:
 		return a, false
@@ -315,22 +316,24 @@
 	return a, true
 }
 
-// dropLeader forgets the leader if it is the given host, so that it is located again.
-func (h *Host) dropLeader(host string) {
+// dropLeader forgets the leader if it is the given host, so that it is located again. It keeps a leader that has confirmed
+// that it leads since the failed request was sent: else each request that was under way in an outage would end the
+// readiness once more after it.
+func (h *Host) dropLeader(host string, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.leader == host {
+	if h.leader == host && !h.leaderHeard.After(sent) {
 		h.leader = ""
 		h.log.Info("leader_lost", "host", host, "cause", "a request was not answered")
 	}
 }
 
-// redirect replaces the leader by the host that the former leader names. The next attempt shows whether that host
-// leads.
-func (h *Host) redirect(from, to string) {
+// redirect replaces the leader by the host that the former leader names, unless the former leader has confirmed that it
+// leads since the request was sent. The next attempt shows whether that host leads.
+func (h *Host) redirect(from, to string, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.leader == from {
+	if h.leader == from && !h.leaderHeard.After(sent) {
 		h.leader = to
 		h.log.Info("leader_moved", "from", from, "to", to)
 	}
--- a/internal/entryhost/entry_test.go
+++ b/internal/entryhost/entry_test.go
@@ -72,13 +72,13 @@
 	return h
 }
 
-var _ = Describe("a submission whose first attempt may have been executed", func() {
-	submit := func(h *Host) service.Verdict {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		return h.Answer(ctx, service.Request{Kind: service.Submit, Path: "/q/01", Document: &domain.JobSpec{}}).Verdict
-	}
+func submit(h *Host) service.Verdict {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return h.Answer(ctx, service.Request{Kind: service.Submit, Path: "/q/01", Document: &domain.JobSpec{}}).Verdict
+}
 
+var _ = Describe("a submission whose first attempt may have been executed", func() {
 	// Guards against a job that is stored and starts though its caller was told that it never will.
 	DescribeTable("is never answered as not run", func(silent bool, then, want service.Verdict) {
 		Expect(submit(hostWith(&scriptedLeader{silent: silent, then: then}))).To(Equal(want))
@@ -112,3 +112,28 @@
 		Expect(submit(hostWith(l))).To(Equal(service.NoQueue))
 	})
 })
+
+var _ = Describe("a leader that has answered since", func() {
+	// Guards against entry hosts that are not ready again and again, because of each request that was under way in one outage.
+	It("is not given up for a request that was sent before", func() {
+		l := &scriptedLeader{silent: true, then: service.Accepted}
+		h := hostWith(l)
+		answered := make(chan service.Verdict, 1)
+		go func() { answered <- submit(h) }()
+		Consistently(h.Ready, 2*attemptTimeout, 5*time.Millisecond).Should(BeTrue())
+		Expect(answered).To(Receive(Equal(service.Accepted)))
+	})
+
+	It("is given up for a request that was sent later", func() {
+		h := New(Settings{}, NewMetrics(), logr.Discard())
+		now := time.Now()
+		h.setLeader("10.0.0.1", now)
+		h.redirect("10.0.0.1", "10.0.0.2", now.Add(-time.Millisecond))
+		h.dropLeader("10.0.0.1", now.Add(-time.Millisecond))
+		Expect(h.leader).To(Equal("10.0.0.1"))
+		h.redirect("10.0.0.1", "10.0.0.2", now.Add(time.Millisecond))
+		Expect(h.leader).To(Equal("10.0.0.2"))
+		h.dropLeader("10.0.0.2", now.Add(2*time.Millisecond))
+		Expect(h.leader).To(BeEmpty())
+	})
+})
