corehost: what several pending proposals add to the same record counts once

What callers and workers saw: jobs and workers that are refused for the time being although there is room for them, and the events jobs_full and registrations_full.

Cause: callers and hosts repeat calls, and several hosts pass on the report of the same worker. Each repetition is proposed until the first one is applied, and was counted against the room as if it added a job or a worker of its own.

Change: the pending proposals for one job, one cancellation or one worker count as the largest of them. A repeated call itself is still answered as before.

Evidence: the new specs, with three pending proposals of each: a job that fits was refused as overloaded before, and a worker was not registered; both are taken now, and larger ones, which do not fit, are still refused.

--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -119,7 +119,8 @@
 	term   uint64
 	result chan proposalResult
 	job    domain.JobID // Submissions: the job.
-	// What the state will grow by once it is applied.
+	// What the state will grow by once it is applied. Proposals with the same record let it grow once.
+	record            string
 	jobBytes          int
 	registrationBytes int
 }
--- a/internal/corehost/jobs_full_test.go
+++ b/internal/corehost/jobs_full_test.go
@@ -81,6 +81,24 @@
 		}
 	})
 
+	// Guards against jobs that are refused although there is room, because calls for other jobs were repeated meanwhile.
+	It("that are being committed count once, however many calls hand them in", func(ctx SpecContext) {
+		h := start(ctx)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		submitted := &domain.Command{Submit: &domain.JobSpec{ID: "0000000000000001", Payload: strings.Repeat("x", room/2), Steps: []domain.Step{{Count: 1}}}}
+		cancelled := &domain.Command{Cancel: &domain.CancelJob{Job: "0000000000000002", Workspace: strings.Repeat("w", room/4)}}
+		for i := range uint64(3) {
+			h.pendingProposals[1<<40+2*i] = h.newPendingProposal(1, submitted)
+			h.pendingProposals[1<<40+2*i+1] = h.newPendingProposal(1, cancelled)
+		}
+		for tasks, want := range map[int]service.Verdict{100: service.Accepted, 400: service.Overloaded} {
+			other := domain.JobSpec{Steps: []domain.Step{{Count: tasks}}} // At 64 bytes a task.
+			a, _ := h.decide(h.now(), service.Request{Kind: service.Submit, Queue: "q", Job: "0000000000000003", Document: &other})
+			Expect(a.Verdict).To(Equal(want))
+		}
+	})
+
 	It("are counted alike by a host that restores a snapshot", func(ctx SpecContext) {
 		h := start(ctx)
 		scheduled := domain.JobSpec{Payload: "x", Steps: []domain.Step{{Count: 3}, {Count: 2, DependsOn: []int{0}}}, RepeatCount: 5, StartAtMS: 1, IntervalMS: 1}
--- a/internal/corehost/register_test.go
+++ b/internal/corehost/register_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -59,6 +60,24 @@
 		Entry("itself, as ready after it has drained", func(w *domain.Worker) { w.Draining = false }),
 	)
 
+	// Guards against workers that are refused although there is room, because several hosts pass the reports of others on.
+	It("of a worker that is being registered counts once, however many hosts pass it on", func(ctx SpecContext) {
+		h, _ := startWith(ctx, standing())
+		large := standing()
+		large.Incarnation.ID, large.Address, large.Labels = "i-2", "10.0.0.8:80", []string{strings.Repeat("l", maxRegistrations/2)}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for i := range uint64(3) {
+			h.pendingProposals[1<<40+i] = h.newPendingProposal(1, &domain.Command{Register: large})
+		}
+		full := func(w *domain.Worker) bool { return h.storeRegistration(ctx, h.now(), w).Outcome == service.NotServing }
+		another := standing()
+		another.Incarnation.ID, another.Address = "i-3", "10.0.0.7:80"
+		Expect(full(another)).To(BeFalse())
+		another.Incarnation.ID, another.Labels = "i-4", large.Labels
+		Expect(full(another)).To(BeTrue())
+	})
+
 	It("of a worker whose service was removed still tells that it drains", func(ctx SpecContext) {
 		h, _ := startWith(ctx, standing())
 		config := &domain.Config{Version: 2, Document: []byte("{}"), Pools: []domain.Pool{{Name: "other"}}}
--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -125,10 +125,7 @@
 // storeRegistration commits a report that changes a registration, unless there is no room for what it adds. The caller holds
 // h.mu.
 func (h *Host) storeRegistration(ctx context.Context, now dispatch.Time, w *domain.Worker) service.Result {
-	bytes := h.stateMachine.RegistrationBytes()
-	for _, p := range h.pendingProposals {
-		bytes += p.registrationBytes
-	}
+	bytes := h.stateMachine.RegistrationBytes() + h.pendingGrowth(func(p pendingProposal) int { return p.registrationBytes })
 	growth := h.registrationGrowth(w)
 	full := growth > 0 && bytes+growth > maxRegistrations
 	if full != h.registrationsFull {
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -37,13 +37,7 @@
 	if !ok {
 		return proposalUnknown, domain.NotChanged
 	}
-	w := pendingProposal{term: term, result: make(chan proposalResult, 1), jobBytes: h.jobGrowth(c)}
-	if c.Submit != nil {
-		w.job = c.Submit.ID
-	}
-	if c.Register != nil {
-		w.registrationBytes = h.registrationGrowth(c.Register)
-	}
+	w := h.newPendingProposal(term, c)
 	h.pendingProposals[index] = w
 	if err := h.processOutput(now); err != nil {
 		return proposalUnknown, domain.NotChanged
@@ -63,6 +57,34 @@
 	return proposalUnknown, domain.NotChanged
 }
 
+// newPendingProposal returns the entry in pendingProposals for a command that was proposed in a term.
+func (h *Host) newPendingProposal(term uint64, c *domain.Command) pendingProposal {
+	w := pendingProposal{term: term, result: make(chan proposalResult, 1), jobBytes: h.jobGrowth(c)}
+	switch {
+	case c.Submit != nil:
+		w.job, w.record = c.Submit.ID, string(c.Submit.ID)
+	case c.Cancel != nil:
+		w.record = string(c.Cancel.Job) + "/" + c.Cancel.Workspace
+	case c.Register != nil:
+		w.registrationBytes, w.record = h.registrationGrowth(c.Register), c.Register.Incarnation.ID
+	}
+	return w
+}
+
+// pendingGrowth returns by how many bytes the pending proposals let the state grow. Callers and hosts repeat their calls, so
+// that the same record may be proposed several times before it is applied.
+func (h *Host) pendingGrowth(bytesOf func(pendingProposal) int) int {
+	largest := map[string]int{}
+	total := 0
+	for _, p := range h.pendingProposals {
+		if more := bytesOf(p) - largest[p.record]; more > 0 {
+			largest[p.record] += more
+			total += more
+		}
+	}
+	return total
+}
+
 // leads reports whether this host may answer for the domain now: its leadership has begun and its leader lease is
 // valid.
 func (h *Host) leads(now dispatch.Time) bool {
@@ -191,10 +213,7 @@
 
 // jobsFull reports whether there is no room for what would let the stored jobs grow, see Settings.JobBytes.
 func (h *Host) jobsFull(growth int) bool {
-	bytes := h.stateMachine.JobBytes()
-	for _, w := range h.pendingProposals {
-		bytes += w.jobBytes
-	}
+	bytes := h.stateMachine.JobBytes() + h.pendingGrowth(func(p pendingProposal) int { return p.jobBytes })
 	full := h.settings.JobBytes > 0 && bytes+growth > h.settings.JobBytes
 	if full != h.jobsWereFull {
 		h.jobsWereFull = full
