corehost: a registration or departure of a worker is logged once, however often it is committed

What operators saw: worker_registered and worker_forgotten several times for one worker, as if it had restarted, when several hosts had passed its report on or the next leader removed it again.

Cause: the event was logged for each applied entry, also for one that changed nothing.

Change: only an entry that changes the registration is logged. Other events of applied entries said so already.

Evidence: the new spec commits a registration three times and a removal twice: five events before, two now.

--- a/internal/corehost/apply.go
+++ b/internal/corehost/apply.go
@@ -165,10 +165,10 @@
 			"within_ms", c.Wave.WithinMS, "changed", r == domain.Applied, "index", index)
 	case c.Submit != nil && r == domain.Applied && h.stateMachine.Job(c.Submit.ID).State == domain.JobCancelled:
 		h.log.Info("job_cancelled_before", "job", c.Submit.ID, "queue", c.Submit.Queue, "workspace", c.Submit.Workspace, "index", index)
-	case c.Register != nil && h.leader != nil:
+	case c.Register != nil && r == domain.Applied && h.leader != nil:
 		h.log.Info("worker_registered", "worker", c.Register.Incarnation.ID, "born_ms", c.Register.Incarnation.BornMS,
 			"address", c.Register.Address, "zone", c.Register.Zone, "draining", c.Register.Draining, "index", index)
-	case c.Forget != nil && h.leader != nil:
+	case c.Forget != nil && r == domain.Applied && h.leader != nil:
 		h.log.Info("worker_forgotten", "worker", c.Forget.Incarnation.ID, "born_ms", c.Forget.Incarnation.BornMS, "index", index)
 	}
 }
--- a/internal/corehost/register_test.go
+++ b/internal/corehost/register_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -78,6 +79,26 @@
 		Expect(full(another)).To(BeTrue())
 	})
 
+	// Guards against a history in which a worker seems to have restarted, because several hosts have passed its report on.
+	It("of a worker is logged once, also if it is committed several times", func(ctx SpecContext) {
+		h, _ := startWith(ctx, standing())
+		var events []string
+		h.mu.Lock()
+		h.log = funcr.New(func(_, args string) { events = append(events, args) }, funcr.Options{})
+		h.mu.Unlock()
+		second := standing()
+		second.Incarnation.ID, second.Address = "i-2", "10.0.0.8:80"
+		for range 3 {
+			Expect(h.commitNow(ctx, &domain.Command{Register: second})).To(Equal(service.Done))
+		}
+		for range 2 {
+			Expect(h.commitNow(ctx, &domain.Command{Forget: &domain.ForgetWorker{Incarnation: second.Incarnation}})).To(Equal(service.Done))
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		Expect(events).To(ConsistOf(ContainSubstring("worker_registered"), ContainSubstring("worker_forgotten")))
+	})
+
 	It("of a worker whose service was removed still tells that it drains", func(ctx SpecContext) {
 		h, _ := startWith(ctx, standing())
 		config := &domain.Config{Version: 2, Document: []byte("{}"), Pools: []domain.Pool{{Name: "other"}}}
