replica: spec that each member counts once in votes, commits and the lease

A message may be delivered several times. The spec repeats each reply in a group of five and fails if the granted votes are not kept apart by member.

--- a/internal/replica/rules_test.go
+++ b/internal/replica/rules_test.go
@@ -322,6 +322,36 @@
 	})
 })
 
+var _ = Describe("a reply that arrives several times", func() {
+	It("counts once in a pre-vote, an election, a commit and the lease", func() {
+		five := []replica.Member{memberA, memberB, memberC, foundingMember("d", true), foundingMember("e", true)}
+		r := newTestReplica(memberA, five)
+		repeat := func(request replica.Message, kind replica.MessageKind, from replica.Member) {
+			for range 4 {
+				r.step(reply(request, kind, from))
+			}
+		}
+		r.tick(2 * time.Second)
+		preVote := r.last(replica.MsgPreVote)
+		repeat(preVote, replica.MsgPreVoteReply, memberB)
+		Expect(r.core.Term()).To(BeZero())
+		r.step(reply(preVote, replica.MsgPreVoteReply, memberC))
+		Expect(r.core.Term()).To(Equal(uint64(1)))
+		vote := r.last(replica.MsgVote)
+		repeat(vote, replica.MsgVoteReply, memberB)
+		Expect(r.core.Status().Role).To(Equal(replica.Candidate))
+		r.step(reply(vote, replica.MsgVoteReply, memberC))
+		Expect(r.core.Status().Role).To(Equal(replica.Leader))
+		entries := r.last(replica.MsgAppend)
+		repeat(entries, replica.MsgAppendReply, memberB)
+		Expect(r.core.Status().Commit).To(BeZero())
+		Expect(r.core.LeadsUnderLease(r.now)).To(BeFalse())
+		repeat(entries, replica.MsgAppendReply, memberC)
+		Expect(r.core.Status().Commit).NotTo(BeZero())
+		Expect(r.core.LeadsUnderLease(r.now)).To(BeTrue())
+	})
+})
+
 var _ = Describe("the lease", func() {
 	It("runs from the send time of the answered round", func() {
 		r := newLeader(memberA, threeVoters)
