system: a job that is handed over does not count against the rate of requests of another zone

What callers of the own interface saw: 429 rate_limited in the zones that take over the queued jobs of a zone that is out, although they kept to the rate of their contract.

Cause: each job that arrived from another zone took one request of the workspace's rate, although its request had counted where it was accepted. It was never refused for it; the callers were.

Change: Admit is told of the hand-over, and then looks at neither the queue nor the rate.

--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -147,7 +147,7 @@
 	case w == nil:
 		return &system.Refusal{Code: system.RefusedUnknownWorkspace, Message: "the workspace has no contract here"}
 	}
-	r := d.scheduler.Admit(now, j)
+	r := d.scheduler.Admit(now, j, handedOver)
 	if r != nil && handedOver && (r.Code == system.RefusedRate || r.Code == system.RefusedQueueFull) {
 		return nil
 	}
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -24,7 +24,7 @@
 }
 
 // Admit refuses jobs only while the zone is out of service. The baselines have no request rates and no queue limits.
-func (b *baseline) Admit(_ time.Duration, j *table.Job) *system.Refusal {
+func (b *baseline) Admit(time.Duration, *table.Job, bool) *system.Refusal {
 	if b.tables.Service.Out {
 		return &system.Refusal{Code: system.RefusedZoneOut}
 	}
--- a/internal/system/admit.go
+++ b/internal/system/admit.go
@@ -18,8 +18,8 @@
 )
 
 // Admit checks a new job against the workspace's limits and the zone. A request counts against the rate limit only if
-// nothing else refuses it.
-func (p *Policy) Admit(now time.Duration, j *table.Job) *Refusal {
+// nothing else refuses it. A job that is handed over has been counted in another zone.
+func (p *Policy) Admit(now time.Duration, j *table.Job, handedOver bool) *Refusal {
 	ws := p.tables.Workspace(j.Workspace)
 	if ws == nil {
 		return refuse(RefusedUnknownWorkspace, 0, "workspace %s has no contract", j.Workspace)
@@ -36,6 +36,9 @@
 	if r := p.neverFits(ws, j); r != nil {
 		return r
 	}
+	if handedOver {
+		return nil
+	}
 	if limit := ws.Limits.Queued; limit > 0 && p.tables.QueuedCount(ws.Name) >= limit {
 		return refuse(RefusedQueueFull, retryQueueFull, "workspace %s has %d jobs queued, its limit", ws.Name, limit)
 	}
--- a/internal/system/plan.go
+++ b/internal/system/plan.go
@@ -74,8 +74,9 @@
 
 // Scheduler is implemented by Policy and by the baselines that it is measured against.
 type Scheduler interface {
-	// Admit checks a new job against the workspace's limits and the zone. It returns nil to accept.
-	Admit(now time.Duration, j *table.Job) *Refusal
+	// Admit checks a new job against the workspace's limits and the zone. It returns nil to accept. The limits of the queue
+	// and of the rate of requests concern a job where it is accepted first, not where it is handed over to.
+	Admit(now time.Duration, j *table.Job, handedOver bool) *Refusal
 	// Tick runs all systems once. It must not change replicated fields of the tables.
 	Tick(now time.Duration) Plan
 	// AttemptEnded records the end of an attempt.
