cell: a request that finds no room in the queue does not count against the rate of requests

What callers of the own interface saw: 429 rate_limited sooner than their rate calls for, after requests that had been refused with queue_full while others were being committed.

Cause: the submissions in flight were looked at after the scheduler had counted the request against the rate. A request counts only if nothing else refuses it.

Change: whether those in flight fill the queue is known before, and the scheduler then looks at the other limits only.

Evidence: in the spec for submissions in flight, the refused request was the third of three that were counted before; two are counted now.

--- a/internal/cell/request_test.go
+++ b/internal/cell/request_test.go
@@ -98,6 +98,7 @@
 		}
 		w.process()
 		Expect(w.replies[w.nextID].Error.Code).To(Equal(api.CodeQueueFull))
+		Expect(w.schedulers[0].counted).To(Equal(2), "a refused request does not count against the rate")
 	})
 
 	// Guards against a refused identifier that is accepted later, after another zone has taken the job.
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -147,13 +147,14 @@
 	case w == nil:
 		return &system.Refusal{Code: system.RefusedUnknownWorkspace, Message: "the workspace has no contract here"}
 	}
-	r := d.scheduler.Admit(now, j, handedOver)
+	inFlight, queued, limit := d.submittingCount[j.Workspace], d.tables.QueuedCount(j.Workspace), w.Limits.Queued
+	full := !handedOver && limit > 0 && queued < limit && queued+inFlight >= limit
+	// A job that does not fit the queue must not count against the rate of requests either.
+	r := d.scheduler.Admit(now, j, handedOver || full)
 	if r != nil && handedOver && (r.Code == system.RefusedRate || r.Code == system.RefusedQueueFull) {
 		return nil
 	}
-	inFlight := d.submittingCount[j.Workspace]
-	if r == nil && !handedOver && inFlight > 0 && w.Limits.Queued > 0 &&
-		d.tables.QueuedCount(j.Workspace)+inFlight >= w.Limits.Queued {
+	if r == nil && full {
 		return &system.Refusal{Code: system.RefusedQueueFull, Message: "the queue of the workspace is full",
 			RetryAfter: time.Second}
 	}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -21,9 +21,15 @@
 	w       *world
 	refuse  *system.Refusal
 	preempt []system.Preemption
+	counted int // Submissions that were checked against the limits of the workspace.
 }
 
-func (s *firstFit) Admit(time.Duration, *table.Job, bool) *system.Refusal { return s.refuse }
+func (s *firstFit) Admit(_ time.Duration, _ *table.Job, handedOver bool) *system.Refusal {
+	if !handedOver {
+		s.counted++
+	}
+	return s.refuse
+}
 func (s *firstFit) AttemptEnded(_ time.Duration, r system.AttemptReport) {
 	s.w.reports = append(s.w.reports, r)
 }
