domain: a job waits until a worker has confirmed one of its tasks

What callers saw: a queue gave too few waiting jobs, and a job was shown as running, while its workers rejected every start (429 of an unhealthy worker, no room). The class of the incident: what was counted at the commit of a start was rolled back by the stop that followed.

Cause: the commit of a start moved a pending job to running, although a start is only a request that the worker may reject, and nothing moved it back.

Change: starts leave a job pending. The leader commits at most once a second which pending jobs have attempts that a worker has confirmed or listed, and the end of an attempt that has run tells as well. A start that was confirmed in the last second of a leadership is known to the next leader from the worker's first list; if that worker is lost too, or is replaced at its address within that second, the job counts as waiting until its next attempt. Entries of earlier versions lack the mark and apply as they did.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -49,7 +49,7 @@
 // before the call was sent: they are over. A worker that has confirmed a start and shows nothing of it is avoided for a while.
 func (l *Leader) absentAttempts(now Time, w *domain.Worker, s *session, p pendingCall, listed map[listedAttempt]bool) []domain.AttemptEnd {
 	var out []domain.AttemptEnd
-	vanished := false
+	vanished, begun := false, false
 	for id, attempt := range w.Attempts() {
 		a := l.attempts[id]
 		if a == nil || listed[listedAttempt{id, attempt}] || !(a.startConfirmed || a.stopConfirmed) || a.confirmedAt >= p.sentAt || (a.stopWanted && !a.stopConfirmed) {
@@ -57,6 +57,10 @@
 		}
 		out = append(out, domain.AttemptEnd{Task: id, Attempt: attempt, Outcome: domain.OutcomeAbsent, Checkpoint: a.checkpoint})
 		vanished = vanished || (a.startConfirmed && !a.stopWanted)
+		begun = begun || a.startConfirmed
+	}
+	if begun && !s.endsInFlight {
+		l.reportBegun(now)
 	}
 	if vanished && !s.endsInFlight {
 		s.avoid(now.Mono)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -88,6 +88,7 @@
 	adviceCache     adviceCache
 	upkeeps         map[string]*upkeepState // By machine.
 	nextUpkeepAt    time.Duration
+	nextBegunAt     time.Duration // When the begun jobs are reported next.
 	// When this leadership began, on both clocks.
 	beganAt     time.Duration
 	beganWallMS int64
@@ -263,12 +264,13 @@
 		return
 	}
 	s.forgetInFlight = true
+	l.reportBegun(now)
 	l.propose(now, domain.Command{Forget: &domain.ForgetWorker{Incarnation: s.incarnation}})
 }
 
 // Applied updates the leader after a command has been applied to the domain.
 func (l *Leader) Applied(now Time, c *domain.Command, r domain.Result) {
-	l.dirty = true
+	l.dirty = l.dirty || c.Begun == nil
 	switch {
 	case c.Start != nil:
 		l.startInFlight = false
@@ -400,6 +402,10 @@
 		l.watchProgress(now)
 		l.expireLeases(now)
 		l.releaseDueOccurrences(now)
+		if now.Mono >= l.nextBegunAt {
+			l.nextBegunAt = now.Mono + reportBegunEvery
+			l.reportBegun(now)
+		}
 		l.housekeeping(now)
 		l.watchHolds()
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -60,7 +60,7 @@
 		return
 	}
 	l.startInFlight = true
-	var all domain.StartAttempts
+	all := domain.StartAttempts{Unconfirmed: true}
 	for _, s := range p.Starts {
 		all.Assignments = append(all.Assignments, s.Assignments...)
 	}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -187,6 +187,7 @@
 		}
 		slices.SortFunc(ends, func(a, b domain.AttemptEnd) int { return a.Task.Compare(b.Task) })
 		s.endsInFlight, s.lossInFlight = true, true
+		l.reportBegun(now)
 		l.options.Log("leases_over", "worker", s.incarnation.ID, "attempts", len(ends), "silent_ms", (now.Mono - s.answeredAt).Milliseconds(),
 			"lease_until_ms", s.leaseUntilMS, "clock_ms", s.clock.lowerBound(now.Mono), "leads_ms", (now.Mono - l.beganAt).Milliseconds())
 		l.propose(now, domain.Command{End: &domain.EndAttempts{Worker: s.incarnation, Ends: ends, OncePerRun: true, WithinRuns: true}})
--- a/internal/domain/apply_attempt.go
+++ b/internal/domain/apply_attempt.go
@@ -24,8 +24,8 @@
 		t.Worker = a.Worker
 		t.StartedMS = at
 		m.addToWorker(a.Task, j, t)
-		if j.State == JobPending {
-			j.State = JobRunning
+		if !s.Unconfirmed {
+			j.begin()
 		}
 		result = Applied
 	}
@@ -142,6 +142,9 @@
 	}
 	m.removeFromWorker(x.Task, j, t)
 	recordCheckpoint(j, x)
+	if x.Outcome.showsBegin() {
+		j.begin()
+	}
 	defer m.dropIfNoAttempts(j)
 	if j.State.Final() || t.Done {
 		return
@@ -190,6 +193,7 @@
 		j.Spec.Steps[x.Task.Step].LongRunning {
 		return
 	}
+	j.begin()
 	m.finishTask(j, x.Task)
 	m.completeIfDone(j, x.Task.Occurrence, at)
 }
--- a/internal/domain/command.go
+++ b/internal/domain/command.go
@@ -22,7 +22,8 @@
 	Upkeep   *UpkeepProgress     `cbor:"13,keyasint,omitempty"`
 	// RetentionEpoch is the epoch that was known when the submission was received, see StateMachine.RetentionEpoch. Entries of
 	// earlier versions have none.
-	RetentionEpoch uint64 `cbor:"14,keyasint,omitempty"`
+	RetentionEpoch uint64     `cbor:"14,keyasint,omitempty"`
+	Begun          *JobsBegun `cbor:"15,keyasint,omitempty"`
 }
 
 // SetZone takes an availability zone out of service, or puts it back into service.
@@ -57,6 +58,14 @@
 // started by one command.
 type StartAttempts struct {
 	Assignments []Assignment `cbor:"1,keyasint"`
+	// Unconfirmed leaves a pending job pending: its worker may reject the start. Entries of earlier versions lack it; their jobs
+	// run from the commit on, as they did on the hosts whose snapshots include them.
+	Unconfirmed bool `cbor:"2,keyasint,omitempty"`
+}
+
+// JobsBegun records that workers have confirmed attempts of pending jobs.
+type JobsBegun struct {
+	Jobs []JobID `cbor:"1,keyasint"`
 }
 
 // AttemptEnd is the end of one attempt.
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -212,6 +212,8 @@
 		return m.applyWave(c.Wave, c.AtMS)
 	case c.Upkeep != nil:
 		return m.applyUpkeep(c.Upkeep, c.AtMS)
+	case c.Begun != nil:
+		return m.applyBegun(c.Begun)
 	}
 	return NotChanged
 }
@@ -326,7 +328,7 @@
 // done yet. It is kept because declared run times are off by an order of magnitude.
 func (m *StateMachine) RunTime(queue string) int64 { return m.state.RunTimes[queue] }
 
-// Waiting returns the number of open jobs of a queue of which no attempt has begun.
+// Waiting returns the number of open jobs of a queue of which no attempt is known to have begun on a worker.
 func (m *StateMachine) Waiting(queue string) int {
 	n := 0
 	for _, j := range m.open {
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -195,7 +195,7 @@
 
 // States of a job. The last three are final.
 const (
-	JobPending JobState = iota // No attempt of any task has begun.
+	JobPending JobState = iota // No attempt of any task is known to have begun on a worker.
 	JobRunning
 	JobCompleted
 	JobFailed
