--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -71,7 +71,8 @@
 func (l *Leader) units(now Time) []*placement.Unit {
 	var out []*placement.Unit
 	for _, j := range l.state.OpenJobs() {
-		for k, o := range j.Occurrences {
+		for k := j.FirstOpen(); k < len(j.Occurrences); k++ {
+			o := j.Occurrences[k]
 			if o.Done {
 				continue
 			}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -194,55 +194,6 @@
 	}
 }
 
-// maxReleasedTasks is how many tasks of a schedule the occurrences may have that are released and not done, as many as the
-// domain accepts in one job. Without it, a schedule whose occurrences are all due takes more memory than a host has.
-const maxReleasedTasks = 20000
-
-// releaseRoom returns how many further occurrences of a job may be released now; one if none is open.
-func releaseRoom(j *domain.Job) int {
-	tasks, open := 0, 0
-	for i := range j.Spec.Steps {
-		tasks += j.Spec.Steps[i].Count
-	}
-	for _, o := range j.Occurrences {
-		if !o.Done {
-			open++
-		}
-	}
-	return max(1, maxReleasedTasks/max(1, tasks)) - open
-}
-
-// releaseDueOccurrences proposes to add the occurrences of scheduled jobs that are due, or will be within
-// Options.EarlyStart, as far as releaseRoom allows.
-func (l *Leader) releaseDueOccurrences(now Time) {
-	for id, j := range l.state.OpenJobs() {
-		n := len(j.Occurrences)
-		if j.Spec.RepeatCount == 0 || n >= j.Spec.Occurrences() {
-			continue
-		}
-		limit := now.WallMS + l.options.EarlyStart.Milliseconds()
-		due := n
-		for due < j.Spec.Occurrences() && j.Spec.DueMS(due) <= limit {
-			due++
-		}
-		if due > n {
-			due = min(due, n+releaseRoom(j))
-		}
-		if due > n && l.releasing[id] == 0 {
-			l.releasing[id] = due
-			l.propose(now, domain.Command{Release: &domain.ReleaseOccurrences{Job: id, Count: due}})
-		}
-	}
-}
-
-// releaseApplied handles an applied command that adds occurrences. A command of an earlier leadership may add fewer than
-// the one in flight.
-func (l *Leader) releaseApplied(r *domain.ReleaseOccurrences) {
-	if r.Count >= l.releasing[r.Job] {
-		delete(l.releasing, r.Job)
-	}
-}
-
 // forgetAfter is for how long a worker without attempts may neither answer nor report before it is forgotten. If it
 // comes back, it registers anew. A report of a foreign entry counts for nothing: it is not called, so it cannot answer.
 const forgetAfter = 30 * time.Second
--- a/internal/domain/apply_job.go
+++ b/internal/domain/apply_job.go
@@ -95,15 +95,10 @@
 		}
 	}
 	o.Done = true
-	if len(j.Occurrences) < j.Spec.Occurrences() {
-		return
-	}
-	for _, other := range j.Occurrences {
-		if !other.Done {
-			return
-		}
+	j.skipDone()
+	if j.firstOpen == j.Spec.Occurrences() {
+		m.endJob(j, JobCompleted, at)
 	}
-	m.endJob(j, JobCompleted, at)
 }
 
 // retentionEpochs is how many epochs an ended job is kept at least. Submissions that were received as many epochs ago are
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -110,6 +110,7 @@
 	}
 	for id, j := range s.Jobs {
 		m.jobBytes += j.bytes()
+		j.skipDone()
 		if !j.State.Final() {
 			m.open[id] = j
 		}
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -75,6 +75,11 @@
 	return Resources{r.CPU - o.CPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Times returns the amount multiplied by a number.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.CPU * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
+}
+
 // Fits reports whether this amount can be taken from the free amount.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPU <= free.CPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
@@ -190,6 +195,17 @@
 	return s.StartAtMS + int64(k)*s.IntervalMS
 }
 
+// DueOccurrences returns how many occurrences of a schedule are due at a time, in Unix milliseconds.
+func (s *JobSpec) DueOccurrences(atMS int64) int {
+	switch {
+	case s.RepeatCount == 0 || atMS < s.StartAtMS:
+		return 0
+	case s.IntervalMS <= 0:
+		return s.RepeatCount
+	}
+	return int(min((uint64(atMS)-uint64(s.StartAtMS))/uint64(s.IntervalMS), uint64(s.RepeatCount)-1)) + 1
+}
+
 // JobState is the state of a job.
 type JobState uint8
 
@@ -252,6 +268,18 @@
 	Sequence    uint64        `cbor:"5,keyasint"`           // Position in the order of acceptance.
 	Occurrences []*Occurrence `cbor:"6,keyasint"`           // Those that have become due so far.
 	EndedEpoch  uint64        `cbor:"7,keyasint,omitempty"` // Retention epoch in which it ended.
+
+	firstOpen int // Derived: how many occurrences are done before the first one that is not.
+}
+
+// FirstOpen returns the index of the first occurrence that is not done, or how many there are.
+func (j *Job) FirstOpen() int { return j.firstOpen }
+
+// skipDone brings firstOpen up to date.
+func (j *Job) skipDone() {
+	for j.firstOpen < len(j.Occurrences) && j.Occurrences[j.firstOpen].Done {
+		j.firstOpen++
+	}
 }
 
 // Task returns the state of a task, nil if the task does not exist or its occurrence is not due yet.
