--- a/internal/domain/command.go
+++ b/internal/domain/command.go
@@ -83,11 +83,11 @@
 	Worker WorkerIncarnation `cbor:"1,keyasint"`
 	Cursor int64             `cbor:"2,keyasint,omitempty"`
 	Ends   []AttemptEnd      `cbor:"3,keyasint,omitempty"`
-	// OncePerRun counts a failed run of a gang once. Entries of earlier versions lack it: each of their failed members counts,
-	// as it did on the hosts whose snapshots include them.
+	// OncePerRun counts a failed run of a gang once, however many of its members failed. Entries of earlier versions lack it and
+	// count each member: a host that replays the log must hold the state that is in the snapshots of other hosts.
 	OncePerRun bool `cbor:"4,keyasint,omitempty"`
-	// WithinRuns keeps the failures of a gang from exceeding its runs: a version that counts each member may have counted the
-	// present run already. Entries of earlier versions lack it.
+	// WithinRuns takes the present run for counted if the gang has as many failures as runs: an earlier version, which counts
+	// each member, has counted it then. Entries of earlier versions lack it.
 	WithinRuns bool `cbor:"5,keyasint,omitempty"`
 }
 
--- a/internal/domain/types.go
+++ b/internal/domain/types.go
@@ -232,10 +232,10 @@
 	Attempt    int               `cbor:"2,keyasint,omitempty"` // Number of the newest attempt; the same for a whole gang.
 	Worker     WorkerIncarnation `cbor:"3,keyasint,omitempty"` // Set while the newest attempt may be present on a worker.
 	Checkpoint string            `cbor:"4,keyasint,omitempty"` // Newest known checkpoint; of a gang in its first task.
-	Failures   int               `cbor:"5,keyasint,omitempty"` // Attempts with OutcomeFailed; of a gang in its first task.
+	Failures   int               `cbor:"5,keyasint,omitempty"` // Failed attempts; failed runs of a gang in its first task.
 	StartedMS  int64             `cbor:"6,keyasint,omitempty"` // When the newest attempt was committed, Unix milliseconds.
-	// FailedRun is the newest attempt of a gang that is counted in Failures; set in the first task. Members that fail in the
-	// same run are reported one by one.
+	// FailedRun is the newest run of a gang that has failed; set in the first task. Members that fail in the same run are
+	// reported one by one, and the run counts once in Failures.
 	FailedRun int `cbor:"11,keyasint,omitempty"`
 	// FailedOn lists the workers on which attempts failed; of a gang in its first task.
 	FailedOn []string `cbor:"7,keyasint,omitempty"`
