placement: each pool is decided by itself

Cause: the workers that are kept empty for urgent work, how many are empty and whether the load is light were counted over all services, so that the load of one closed the idle workers of another.

Change: a view is split by pools. With one pool the plans are the same.

Evidence: the new spec placed nothing before.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -54,8 +54,40 @@
 	preempted   map[domain.TaskID]bool // Attempts that this decision stops, or considers stopping.
 }
 
-// Decide returns the starts and preemptions for a view.
+// Decide returns the starts and preemptions for a view. Each pool is decided by itself: its load and its empty workers say
+// nothing about the work of another one.
 func Decide(v *View) Plan {
+	var plan Plan
+	for _, pool := range byPool(v) {
+		p := decidePool(pool)
+		plan.Starts = append(plan.Starts, p.Starts...)
+		plan.Preemptions = append(plan.Preemptions, p.Preemptions...)
+	}
+	return plan
+}
+
+// byPool splits a view by the pools that have workers and units.
+func byPool(v *View) []*View {
+	units := map[string][]*Unit{}
+	for _, u := range v.Units {
+		units[u.Job.Spec.Pool] = append(units[u.Job.Spec.Pool], u)
+	}
+	workers := map[string][]*Worker{}
+	for _, w := range v.Workers {
+		if units[w.Pool] != nil {
+			workers[w.Pool] = append(workers[w.Pool], w)
+		}
+	}
+	var out []*View
+	for _, pool := range slices.Sorted(maps.Keys(workers)) {
+		part := *v
+		part.Workers, part.Units = workers[pool], units[pool]
+		out = append(out, &part)
+	}
+	return out
+}
+
+func decidePool(v *View) Plan {
 	d := &decision{view: v, racks: map[string][]*slot{}, emptyInRack: map[string]int{}, preempted: map[domain.TaskID]bool{}, started: map[*Unit]bool{}}
 	for _, w := range v.Workers {
 		if !w.Usable {
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -222,6 +222,18 @@
 		})
 	})
 
+	It("keeps workers empty for urgent work by pool, whatever runs in the others", func() {
+		// Guards against a busy service whose load withholds the idle workers of another one.
+		f := newFixture(8)
+		for i := range 6 {
+			f.occupy(i, 8, 2)
+		}
+		f.view.Workers[6].Pool, f.view.Workers[7].Pool = "q", "q"
+		u := f.unit("j", 2, tasks(1, 1))
+		u.Job.Spec.Pool = "q"
+		Expect(placed(placement.Decide(&f.view))["j"]).To(HaveLen(1))
+	})
+
 	It("keeps a share of the workers empty for urgent work, unless other work is at risk of missing its objective", func() {
 		f := newFixture(8)
 		u := f.unit("j", 1, tasks(8, 8))
