--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -234,6 +234,20 @@
 		Expect(placed(placement.Decide(&f.view))["j"]).To(HaveLen(1))
 	})
 
+	It("keeps no worker empty that a task which lasts could use", func() {
+		// Guards against a task that has no run beside idle workers: its objective is far away, so that it is never at risk.
+		f := newFixture(10)
+		for i := range 7 {
+			f.occupy(i, 8, 2)
+		}
+		s := tasks(1, 8)
+		s.LongRunning = true
+		f.unit("j", 2, s)
+		f.unit("other", 2, tasks(1, 8))
+		Expect(placed(placement.Decide(&f.view))).To(HaveKey("j"))
+		Expect(placed(placement.Decide(&f.view))).NotTo(HaveKey("other"))
+	})
+
 	It("keeps a share of the workers empty for urgent work, unless other work is at risk of missing its objective", func() {
 		f := newFixture(8)
 		u := f.unit("j", 1, tasks(8, 8))
