simworker: members of a gang can fail one after the other

Cause: all members of a gang that fails in its first runs ended at the same moment, or one failed and the others ended as broken. No test could let something happen between the ends of two members.

Change: two keys of the payload. fail_gap_ms sets the time between two ends, none of which breaks the other members; fail_early lets the first member fail before the others are present. Payloads without them behave as before.

--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -3,8 +3,9 @@
 // in.
 //
 // The payload of an attempt says what the attempt does. It is a list of key=value pairs: work=MS, fail=true (ends as
-// failed), fail_runs=N (the attempts up to number N end as failed, all members of a gang together), hang=true (makes no
-// progress), gang=N (members that must be present), serve=MS (serves requests and never ends; MS is its tail latency
+// failed), fail_runs=N (the attempts up to number N end as failed, all members of a gang together), fail_gap_ms=MS (of
+// these, each member ends MS after the one before it), fail_early=true (of these, the first member ends when it starts,
+// and the others wait for it), hang=true (makes no progress), gang=N (members that must be present), serve=MS (serves requests and never ends; MS is its tail latency
 // without best-effort work on the worker), fill=true (best-effort work, which lengthens the tail latency of the serving
 // attempts on its worker).
 package simworker
@@ -31,8 +32,12 @@
 	Work     time.Duration // Run time of an attempt that starts without a checkpoint.
 	Fail     bool
 	FailRuns int // Highest number of an attempt that ends as failed, together with the other members of its gang.
-	Hang     bool
-	GangSize int
+	// FailGap is the time between the ends of two members that fail together. The end of one does not break the others.
+	FailGap time.Duration
+	// FailEarly ends the first member of a gang that is to fail without waiting for the others.
+	FailEarly bool
+	Hang      bool
+	GangSize  int
 	// TailMS is the tail latency of a serving task, 0 for other tasks.
 	TailMS     int64
 	BestEffort bool
@@ -51,6 +56,10 @@
 			p.Fail = value == "true"
 		case "fail_runs":
 			p.FailRuns = n
+		case "fail_gap_ms":
+			p.FailGap = time.Duration(n) * time.Millisecond
+		case "fail_early":
+			p.FailEarly = value == "true"
 		case "hang":
 			p.Hang = value == "true"
 		case "serve":
@@ -179,12 +188,18 @@
 		if now >= a.stopsAt {
 			w.end(now, a, domain.OutcomeStopped)
 		}
+	case a.failsEarly():
+		w.end(now, a, domain.OutcomeFailed)
 	case a.program.GangSize > 1 && !g.complete:
 		if now-a.started >= GangWait {
 			w.end(now, a, domain.OutcomeGangTimeout)
 		}
-	case a.program.Fail || w.FailAttempts || a.failsTogether():
+	case a.program.Fail || w.FailAttempts:
 		w.end(now, a, domain.OutcomeFailed)
+	case a.failsTogether():
+		if now-a.workBegan >= time.Duration(a.task.Index)*a.program.FailGap {
+			w.end(now, a, domain.OutcomeFailed)
+		}
 	case a.program.Hang || w.StallAttempts || a.program.TailMS > 0:
 	case a.restored+now-a.workBegan >= a.program.Work:
 		w.end(now, a, domain.OutcomeDone)
@@ -194,6 +209,11 @@
 // failsTogether tells whether the attempt is to fail together with the other members of its gang.
 func (a *attempt) failsTogether() bool { return a.number <= a.program.FailRuns }
 
+// failsEarly tells whether the attempt is to fail without waiting for its gang.
+func (a *attempt) failsEarly() bool {
+	return a.program.FailEarly && a.failsTogether() && a.task.Index == 0
+}
+
 func (a *attempt) key() gangKey {
 	return gangKey{a.task.Job, a.task.Occurrence, a.task.Step, a.number}
 }
@@ -391,9 +411,15 @@
 	w.nextEnd++
 	w.gangs.OnEvent(Event{At: now, Worker: w.Incarnation, Task: a.task, Attempt: a.number, Outcome: outcome})
 	g := w.gangs.groups[a.key()]
+	if a.failsEarly() {
+		delete(g.members, a.task.Index) // The gang stays incomplete.
+	}
 	if g.ended || a.program.GangSize <= 1 || outcome == domain.OutcomeGangTimeout {
 		return
 	}
+	if outcome == domain.OutcomeFailed && (a.failsEarly() || (a.failsTogether() && a.program.FailGap > 0)) {
+		return
+	}
 	g.ended = true
 	others := domain.OutcomeGangBroken
 	if outcome == domain.OutcomeDone || (outcome == domain.OutcomeFailed && a.failsTogether()) {
