soak: gangs that fail in their first runs, with a fault between the ends of two members

Cause: jobs were shown as failed with attempts left, since each member of a run that ended as failed counted. The random faults of the soak seldom fall between the ends of two members, and all of these were at the same moment.

When members of the first job have failed and before the others have, the leader is killed, frozen or cut off from the other core hosts, all core hosts are killed, a worker restarts, leaves or loses the end, the configuration changes, or several of these overlap. Each job must be shown as failed after exactly as many failed runs as its queue allowed when it was accepted, or as completed if there are fewer, by the ends that the workers saw.

--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -34,6 +34,9 @@
 	kingpin.Flag("gang-failures", "Let all members of some gangs fail at once.").Default("true").BoolVar(&options.GangFailures)
 	kingpin.Flag("abandoned", "Let some callers leave without an answer and cancel their jobs.").Default("true").BoolVar(&options.Abandoned)
 	kingpin.Flag("zone-orders", "Take zones without workers out of service and bring them back.").Default("true").BoolVar(&options.ZoneOrders)
+	kingpin.Flag("gang-rounds", "Play this many rounds of gangs that fail, each with a fault between the ends of two members, instead of random faults.").IntVar(&options.GangRounds)
+	kingpin.Flag("case", "Kind of fault in the rounds of gangs, instead of all; may be repeated.").StringsVar(&options.GangCases)
+	kingpin.Flag("program-before", "Path of an earlier mustardwalkd, with which the hosts start; the case upgrade replaces it.").StringVar(&options.ProgramBefore)
 	only := kingpin.Flag("only", "Kind of fault that is injected, instead of all; may be repeated.").Strings()
 	kingpin.Parse()
 	if len(*only) > 0 {
@@ -99,7 +102,11 @@
 	if err := os.MkdirAll(options.Folder, 0o755); err != nil {
 		return soak.Report{}, options.Folder, err
 	}
-	r, err := soak.Run(ctx, options)
+	play := soak.Run
+	if options.GangRounds > 0 {
+		play = soak.RunGangs
+	}
+	r, err := play(ctx, options)
 	if err == nil && len(r.Violations) == 0 {
 		err = os.RemoveAll(options.Folder)
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// pid returns the identifier of the process that was started last.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // hasEnded tells whether the process has ended and was not started again.
 func (p *process) hasEnded() bool {
 	p.mu.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,8 +1,12 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 )
@@ -36,6 +40,7 @@
 
 	mu      sync.Mutex
 	fault   Fault
+	only    int           // Process whose connections the fault disturbs; 0 for all.
 	changed chan struct{} // Closed when the fault changes.
 	conns   map[net.Conn]bool
 	closed  bool
@@ -56,7 +61,7 @@
 func (p *Proxy) SetFault(f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fault = f
+	p.fault, p.only = f, 0
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if f == Reset {
@@ -64,6 +69,15 @@
 	}
 }
 
+// SetSilentFor holds back the bytes of the connections that a process has opened.
+func (p *Proxy) SetSilentFor(pid int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault, p.only = Silent, pid
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // Close stops listening and resets all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close() // Fails only if it is closed already.
@@ -119,18 +133,18 @@
 		return
 	}
 	done := make(chan struct{}, 2)
-	go func() { p.copy(server, client, false); done <- struct{}{} }()
-	go func() { p.copy(client, server, true); done <- struct{}{} }()
+	go func() { p.copy(server, client, client, false); done <- struct{}{} }()
+	go func() { p.copy(client, server, client, true); done <- struct{}{} }()
 	<-done
 }
 
 // copy forwards bytes in one direction; fromServer tells which.
-func (p *Proxy) copy(to io.Writer, from io.Reader, fromServer bool) {
+func (p *Proxy) copy(to io.Writer, from io.Reader, client net.Conn, fromServer bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			p.waitWhileHeld(fromServer)
+			p.waitWhileHeld(client, fromServer)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -142,13 +156,13 @@
 }
 
 // waitWhileHeld waits as long as the fault holds back bytes of a direction.
-func (p *Proxy) waitWhileHeld(fromServer bool) {
+func (p *Proxy) waitWhileHeld(client net.Conn, fromServer bool) {
 	for {
 		p.mu.Lock()
-		fault, changed, closed := p.fault, p.changed, p.closed
+		fault, only, changed, closed := p.fault, p.only, p.changed, p.closed
 		p.mu.Unlock()
 		switch {
-		case closed:
+		case closed || (only != 0 && !openedBy(only, client)):
 			return
 		case fault == Delayed:
 			time.Sleep(delay)
@@ -160,3 +174,34 @@
 		}
 	}
 }
+
+// openedBy tells whether a process has opened a loopback connection, of which this is the end of the server.
+func openedBy(pid int, conn net.Conn) bool {
+	a, ok := conn.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return false
+	}
+	ip := a.IP.To4()
+	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return false
+	}
+	folder := fmt.Sprintf("/proc/%d/fd", pid)
+	open, err := os.ReadDir(folder)
+	if err != nil {
+		return false // The process has ended, and its connections with it.
+	}
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) < 10 || fields[1] != local {
+			continue
+		}
+		for _, f := range open {
+			if link, err := os.Readlink(filepath.Join(folder, f.Name())); err == nil && link == "socket:["+fields[9]+"]" {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -34,6 +35,9 @@
 	ZoneOrders      bool          // An operator takes zones out of service and brings them back.
 	Abandoned       bool          // Some callers leave without an answer and cancel their jobs at another host.
 	GangFailures    bool          // All members of some gangs fail at once, in fewer runs than their queue allows.
+	GangRounds      int           // Number of rounds of RunGangs.
+	GangCases       []string      // Kinds of faults of RunGangs; all if it is empty.
+	ProgramBefore   string        // Path of mustardwalkd of an earlier version, which Program replaces in the case "upgrade" of RunGangs.
 }
 
 // hostPorts are below the range from which the system picks ports, so that they are free while a host or a worker is down.
@@ -83,8 +87,8 @@
 	coreFaultEnd time.Time // When the last of them ended.
 }
 
-// Run runs the programs under the faults that the seed determines, and checks the requirements.
-func Run(ctx context.Context, options Options) (Report, error) {
+// newRun returns a run whose processes have not been started.
+func newRun(options Options) (*run, error) {
 	r := &run{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), gangs: simworker.NewGangs(), start: time.Now(),
 		block: 16 + os.Getpid()%200, ports: hostPorts, faults: map[string]int{},
@@ -94,11 +98,20 @@
 	}
 	var err error
 	if r.eventsFile, err = os.Create(filepath.Join(options.Folder, "events.log")); err != nil {
-		return Report{}, err
+		return nil, err
 	}
 	r.events = bufio.NewWriter(r.eventsFile)
 	r.checks = newChecker(r)
 	r.gangs.OnEvent, r.gangs.OnAcknowledged, r.gangs.OnDuplicate = r.checks.observe, r.checks.acknowledged, r.checks.duplicate
+	return r, nil
+}
+
+// Run runs the programs under the faults that the seed determines, and checks the requirements.
+func Run(ctx context.Context, options Options) (Report, error) {
+	r, err := newRun(options)
+	if err != nil {
+		return Report{}, err
+	}
 	defer r.stopAll()
 	if err := r.startAll(); err != nil {
 		return Report{}, err
@@ -196,7 +209,7 @@
 		}
 		p := &process{
 			name: fmt.Sprintf("%s-%d", role, i), role: role, proxyIP: r.ip(proxyNetwork, i), listenIP: r.ip(hostNetwork, i),
-			folder: r.options.Folder, program: r.options.Program, founding: true, unexpectedEnd: r.endedByItself, stalled: r.stalledTime,
+			folder: r.options.Folder, program: cmp.Or(r.options.ProgramBefore, r.options.Program), founding: true, unexpectedEnd: r.endedByItself, stalled: r.stalledTime,
 		}
 		if err := r.startProcess(p); err != nil {
 			return err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,16 @@
 		"when cancelling the job, that it does not exist (issue 39)"},
 }
 
+// buildProgram builds mustardwalkd and returns its path and a folder for logs.
+func buildProgram() (program, logs string) {
+	folder := GinkgoT().TempDir()
+	program, logs = filepath.Join(folder, "mustardwalkd"), filepath.Join(folder, "logs")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/mustardwalk/mustardwalk/cmd/mustardwalkd").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	Expect(os.MkdirAll(logs, 0o755)).To(Succeed())
+	return program, logs
+}
+
 // The specs guard against faults of the whole system that show only between real processes. They run the regression
 // seeds with 12 s of faults; make soak runs more seeds for longer.
 var _ = Describe("the real programs under faults", func() {
@@ -61,12 +71,7 @@
 			if x.red {
 				Skip("KNOWN-RED.txt: " + x.cause)
 			}
-			folder := GinkgoT().TempDir()
-			program := filepath.Join(folder, "mustardwalkd")
-			out, err := exec.Command("go", "build", "-o", program, "github.com/mustardwalk/mustardwalk/cmd/mustardwalkd").CombinedOutput()
-			Expect(err).NotTo(HaveOccurred(), string(out))
-			logs := filepath.Join(folder, "logs")
-			Expect(os.MkdirAll(logs, 0o755)).To(Succeed())
+			program, logs := buildProgram()
 			r, err := soak.Run(context.Background(), soak.Options{
 				Seed: x.seed, Program: program, Folder: logs, FaultDuration: 12 * time.Second, CompletionLimit: 40 * time.Second, Entries: 2,
 				Without: x.without, Malformed: x.malformed, GangFailures: x.gangFailures, Abandoned: x.abandoned,
@@ -76,4 +81,16 @@
 			Expect(r.Jobs).To(BeNumerically(">", 20))
 		})
 	}
+
+	It("count a run of a gang once of which several members have failed", func() {
+		// Guards against jobs that are given up with runs left, since each failed member counted.
+		cases := []string{"leader_killed", "leader_cut", "unreported_restarts"}
+		program, logs := buildProgram()
+		r, err := soak.RunGangs(context.Background(), soak.Options{
+			Seed: 42, Program: program, Folder: logs, Entries: 2, GangRounds: len(cases), GangCases: cases,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Violations).To(BeEmpty())
+		Expect(r.Jobs).To(Equal(5 * len(cases)))
+	})
 })
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -83,7 +83,7 @@
 		s.id = fmt.Sprintf("i-%d-%d", s.index, s.lastID)
 	}
 	options := fleet.WorkerOptions{
-		ID: s.id, Zone: fmt.Sprintf("z%d", s.index%2), Rack: "r", Service: service, Listen: s.address(s.run.ports.front), Advertise: s.address(s.run.ports.control),
+		ID: s.id, Zone: fmt.Sprintf("z%d", s.index%2), Rack: s.rack(), Service: service, Listen: s.address(s.run.ports.front), Advertise: s.address(s.run.ports.control),
 		ControlAddresses: s.run.controlAddresses(), ClockRate: 0.98 + 0.02*s.random.Float64(), Gangs: s.run.gangs, GangsLock: &s.run.gangsLock,
 		Start: s.run.start, StopTime: s.stopTime, LateBy: s.lateBy, OnLeader: s.run.setLeader,
 	}
@@ -101,6 +101,14 @@
 	return nil
 }
 
+// rack returns the rack, which is a label of the worker. In RunGangs each worker has its own.
+func (s *workerSlot) rack() string {
+	if s.run.options.GangRounds > 0 {
+		return fmt.Sprintf("r%d", s.index)
+	}
+	return "r"
+}
+
 func (s *workerSlot) stopTime() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
