dispatch: the starts of one step look at the attempts of their worker once

What callers saw: an accepted job with 20,000 tasks that take almost nothing, or schedules of such tasks, hold the leader for seconds in one step, so that it loses its leadership. Found by the review of the bound over schedules, which leaves it reachable.

Cause: each start looked for a confirmed attempt among all attempts of its worker, of which none is confirmed yet.

Change: the answer is kept for the other starts of the same step.

Real processes were not played with it.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -21,6 +21,7 @@
 // sendStartsAndStops sends and retries starts and stops until the workers confirm them. A worker gets starts only after its
 // first list, which shows what earlier leaders have started there.
 func (l *Leader) sendStartsAndStops(now Time) {
+	confirmed := map[string]bool{} // Whether a worker has a confirmed attempt: it may get many starts at once.
 	for id, a := range l.unsettled {
 		w := l.state.Worker(a.incarnation.ID)
 		if w == nil || w.Incarnation != a.incarnation || a.callsInFlight > 0 || now.Mono < a.nextTryAt {
@@ -34,7 +35,10 @@
 			a.callsInFlight++
 			l.sendCall(now, w, Call{Kind: CallStop, Task: id, Attempt: a.number})
 		case !a.stopWanted && !a.startConfirmed && s.hasClock() && !s.unfenced && s.unknown == 0 && len(l.toReject(now, s)) == 0 && !s.silent(now.Mono, l.options.LeaseDuration):
-			l.sendStart(now, w, s, a)
+			if _, known := confirmed[w.Incarnation.ID]; !known {
+				confirmed[w.Incarnation.ID] = l.hasConfirmedAttempt(w)
+			}
+			l.sendStart(now, w, s, a, confirmed[w.Incarnation.ID])
 		}
 	}
 }
@@ -43,8 +47,8 @@
 const reasonOutOfService = "its worker takes no new work"
 
 // sendStart sends the start of an attempt. It abandons the attempt if its worker drains or is in a zone out of service, or if
-// the queue has a policy and no valid ticket is left.
-func (l *Leader) sendStart(now Time, w *domain.Worker, s *session, a *attemptState) {
+// the queue has a policy and no valid ticket is left. confirmed tells whether the worker has a confirmed attempt.
+func (l *Leader) sendStart(now Time, w *domain.Worker, s *session, a *attemptState, confirmed bool) {
 	if w.Draining || l.state.ZoneOut(w.Zone) {
 		// The start was committed before. One that was sent may be running, until the worker answers without listing it.
 		if a.tries == 0 || s.answeredAt > a.nextTryAt {
@@ -61,7 +65,7 @@
 	a.callsInFlight++
 	a.tries++
 	lease := l.options.LeaseDuration
-	if !l.hasConfirmedAttempt(w) {
+	if !confirmed {
 		lease = min(lease, firstLease)
 	}
 	l.sendCall(now, w, Call{
