placement: long-running tasks with limited stops leave the kept workers to urgent work

Change: only tasks that last and may be stopped at any time use the kept workers.

Evidence: the spec of the placement has such a step now.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -189,12 +189,13 @@
 
 // keptForUrgent tells whether an empty worker is withheld from a unit of lower priority so that urgent work finds room,
 // given how many workers are empty. Work that is at risk may use it, and so may work that has waited under light load, and
-// tasks that last, which have to run all the time.
+// long-running tasks, unless their planned stops are limited: urgent work could not get the worker back.
 func (d *decision) keptForUrgent(u *Unit, s *slot, emptyWorkers int) bool {
 	if d.lightLoad && u.WaitedMS >= lightLoadWaitMS {
 		return false
 	}
-	return u.Job.Spec.Priority > 0 && s.empty() && emptyWorkers <= d.emptyReserve && !d.atRisk(u) && !u.step().LongRunning
+	return u.Job.Spec.Priority > 0 && s.empty() && emptyWorkers <= d.emptyReserve && !d.atRisk(u) &&
+		!(u.step().LongRunning && u.step().MaxUnavailable == 0)
 }
 
 // eligible tells whether a worker may run tasks of a unit, regardless of its free capacity and of the spread limit.
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -244,8 +244,11 @@
 		s.LongRunning = true
 		f.unit("j", 2, s)
 		f.unit("other", 2, tasks(1, 8))
+		s.MaxUnavailable = 1
+		f.unit("limited", 2, s)
 		Expect(placed(placement.Decide(&f.view))).To(HaveKey("j"))
 		Expect(placed(placement.Decide(&f.view))).NotTo(HaveKey("other"))
+		Expect(placed(placement.Decide(&f.view))).NotTo(HaveKey("limited"), "urgent work could not get the worker back")
 	})
 
 	It("keeps a share of the workers empty for urgent work, unless other work is at risk of missing its objective", func() {
