dispatch: a job that has begun is reported once, however many workers are lost at once

Cause: the loss of each worker reported all pending jobs with confirmed attempts, also those whose report was on its way.

Change: the jobs of reports that are not applied yet are left out.

--- a/internal/dispatch/begun.go
+++ b/internal/dispatch/begun.go
@@ -19,13 +19,21 @@
 		if !a.startConfirmed {
 			continue
 		}
-		if j := l.state.Job(id.Job); j != nil && j.State == domain.JobPending {
+		if j := l.state.Job(id.Job); j != nil && j.State == domain.JobPending && !l.begunInFlight[id.Job] {
+			l.begunInFlight[id.Job] = true
 			begun = append(begun, id.Job)
 		}
 	}
 	if len(begun) == 0 {
 		return
 	}
-	slices.Sort(begun)
-	l.propose(now, domain.Command{Begun: &domain.JobsBegun{Jobs: slices.Compact(begun)}})
+	slices.Sort(begun) // The attempts come in any order.
+	l.propose(now, domain.Command{Begun: &domain.JobsBegun{Jobs: begun}})
+}
+
+// begunApplied handles an applied command of reportBegun, or one of an earlier leadership.
+func (l *Leader) begunApplied(b *domain.JobsBegun) {
+	for _, id := range b.Jobs {
+		delete(l.begunInFlight, id)
+	}
 }
--- a/internal/dispatch/begun_test.go
+++ b/internal/dispatch/begun_test.go
@@ -53,6 +53,30 @@
 		Entry("while leaders change", dispatch.Unhealthy, true),
 	)
 
+	It("is reported once, however many workers are lost at once", func() {
+		// Guards against an entry of the log for each of them, with all jobs that have begun lately.
+		w := newWorld(1, 12)
+		w.run(3 * time.Second)
+		reports, most := map[time.Duration]int{}, 0
+		w.beforeApply = func(c *domain.Command) {
+			if c.Begun != nil {
+				reports[w.now]++
+				most = max(most, reports[w.now])
+			}
+		}
+		w.submit(domain.JobSpec{ID: "long", Payload: "work=600000", Steps: []domain.Step{step(12, 6)}})
+		w.run(5 * time.Second)
+		for i := range 10 {
+			w.cutOff[fmt.Sprintf("i-%03d", i)] = true
+		}
+		for i := range 300 {
+			w.submit(domain.JobSpec{ID: domain.JobID(fmt.Sprint("short", i)), Payload: "work=100", Steps: []domain.Step{step(1, 1)}})
+			w.run(w.now + 50*time.Millisecond)
+		}
+		Expect(reports).NotTo(BeEmpty())
+		Expect(most).To(Equal(1))
+	})
+
 	It("excludes those that run, within 2 s, and after a change of the leader at once", func() {
 		w := newWorld(1, 2)
 		submit(w)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -88,7 +88,8 @@
 	adviceCache     adviceCache
 	upkeeps         map[string]*upkeepState // By machine.
 	nextUpkeepAt    time.Duration
-	nextBegunAt     time.Duration // When the begun jobs are reported next.
+	nextBegunAt     time.Duration         // When the begun jobs are reported next.
+	begunInFlight   map[domain.JobID]bool // Jobs that a command reports as begun that is not applied yet.
 	// When this leadership began, on both clocks.
 	beganAt     time.Duration
 	beganWallMS int64
@@ -127,6 +128,7 @@
 		stalls:          map[domain.TaskID]int{},
 		releasing:       map[domain.JobID]int{},
 		endedJobs:       map[domain.JobID]bool{},
+		begunInFlight:   map[domain.JobID]bool{},
 		dirty:           true,
 		// A host may lead again within one term. Identifiers that begin at the clock keep it from taking the answers to
 		// calls of its earlier leadership for answers to its own.
@@ -301,6 +303,8 @@
 		l.releaseApplied(c.Release)
 	case c.Upkeep != nil:
 		l.upkeepApplied(c.Upkeep)
+	case c.Begun != nil:
+		l.begunApplied(c.Begun)
 	case c.Purge != nil:
 		maps.DeleteFunc(l.endedJobs, func(id domain.JobID, _ bool) bool { return l.state.Job(id) == nil })
 	}
