corehost: an end that changed nothing is not logged when the leadership begins

What operators could see: an end of an earlier incarnation of a worker beside the real one, if both are committed between the election of a host and the begin of its leadership.

Change: only commands that were applied are kept for the log. The corehost suite passes.

--- a/internal/corehost/apply.go
+++ b/internal/corehost/apply.go
@@ -142,7 +142,7 @@
 	switch {
 	case h.leader != nil:
 		h.leader.Applied(now, c, result)
-	case h.replica.Role() == replica.Leader && (c.End != nil || c.Cancel != nil):
+	case result == domain.Applied && h.replica.Role() == replica.Leader && (c.End != nil || c.Cancel != nil):
 		h.appliedBefore = append(h.appliedBefore, c)
 	}
 	h.logApplied(c, result, e.Index)
