corehost: the room for jobs is reckoned record by record only when it is short

Change: their sum is an upper bound; only if that does not fit, the records are told apart. The specs of full hosts pass; the time was not measured again.

--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -125,8 +125,8 @@
 // storeRegistration commits a report that changes a registration, unless there is no room for what it adds. The caller holds
 // h.mu.
 func (h *Host) storeRegistration(ctx context.Context, now dispatch.Time, w *domain.Worker) service.Result {
-	bytes := h.stateMachine.RegistrationBytes() + h.pendingGrowth(func(p pendingProposal) int { return p.registrationBytes })
-	growth := h.registrationGrowth(w)
+	stored, growth := h.stateMachine.RegistrationBytes(), h.registrationGrowth(w)
+	bytes := stored + h.pendingGrowth(maxRegistrations-stored-growth, func(p pendingProposal) int { return p.registrationBytes })
 	full := growth > 0 && bytes+growth > maxRegistrations
 	if full != h.registrationsFull {
 		h.registrationsFull = full
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -71,9 +71,16 @@
 	return w
 }
 
-// pendingGrowth returns by how many bytes the pending proposals let the state grow. Callers and hosts repeat their calls, so
-// that the same record may be proposed several times before it is applied.
-func (h *Host) pendingGrowth(bytesOf func(pendingProposal) int) int {
+// pendingGrowth returns by how many bytes the pending proposals let the state grow, or an upper bound if that fits into the room.
+// Callers and hosts repeat their calls, so that the same record may be proposed several times before it is applied.
+func (h *Host) pendingGrowth(room int, bytesOf func(pendingProposal) int) int {
+	bound := 0
+	for _, p := range h.pendingProposals {
+		bound += bytesOf(p)
+	}
+	if bound <= room {
+		return bound
+	}
 	largest := map[string]int{}
 	total := 0
 	for _, p := range h.pendingProposals {
@@ -213,7 +220,8 @@
 
 // jobsFull reports whether there is no room for what would let the stored jobs grow, see Settings.JobBytes.
 func (h *Host) jobsFull(growth int) bool {
-	bytes := h.stateMachine.JobBytes() + h.pendingGrowth(func(p pendingProposal) int { return p.jobBytes })
+	stored := h.stateMachine.JobBytes()
+	bytes := stored + h.pendingGrowth(h.settings.JobBytes-stored-growth, func(p pendingProposal) int { return p.jobBytes })
 	full := h.settings.JobBytes > 0 && bytes+growth > h.settings.JobBytes
 	if full != h.jobsWereFull {
 		h.jobsWereFull = full
