--- a/review/harness-3/cluster.go
+++ b/review/harness-3/cluster.go
@@ -49,6 +49,7 @@
 
 	mu      sync.Mutex
 	workers []*worker // All that were started, also those that have ended.
+	gangs   map[string]*gang
 }
 
 // host is a process of the system.
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{record: record, program: program, folder: folder, client: &http.Client{Timeout: 4 * time.Second}}
+	c := &cluster{record: record, program: program, folder: folder, gangs: map[string]*gang{}, client: &http.Client{Timeout: 4 * time.Second}}
 	for range 100 {
 		c.prefix = fmt.Sprintf("127.%d", 20+rand.IntN(200))
 		if c.addressesFree() {
@@ -300,12 +301,16 @@
 const (
 	hostName  = "queues.example"
 	apiKey    = "d4a3hwrr6x73d3zji9n7"
+	otherKey  = "3hh2b9wu3fexd9dnn2ct" // Of a tenant without a guarantee.
 	service   = "huvo11a"
 	urgent    = "/urgent/"     // Priority 0.
 	ordinary  = "/ordinary/"   // Priority 1.
 	leastUrge = "/background/" // Priority 2.
 )
 
+// guaranteedGPUs is what is guaranteed to the tenant: a quarter of the accelerators of eight workers.
+const guaranteedGPUs = 16
+
 // configure sends the first configuration, in the format of the pages' example.
 func (c *cluster) configure() error {
 	route := func(name, prefix string, priority, attempts int) map[string]any {
@@ -321,17 +326,18 @@
 			"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
 			"enforces_capacity": false, "spare": false,
 		}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "kaje80", "api_keys": []string{apiKey}, "priority": 1, "guaranteed": map[string]any{"gpus": 16}}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "kaje80", "api_keys": []string{apiKey}, "priority": 1, "guaranteed": map[string]any{"gpus": guaranteedGPUs}},
+			map[string]any{"name": "lohu11", "api_keys": []string{otherKey}, "priority": 1, "guaranteed": map[string]any{"gpus": 0}}},
 	})
 }
 
 // request sends a client's request to an entry host that is ready, and repeats it as the pages say of clients.
-func (c *cluster) request(method, path string, body any) (int, string) {
+func (c *cluster) request(method, path, key string, body any) (int, string) {
 	status, data := 0, []byte(nil)
 	for try := range 5 {
 		entry := c.address(entryNet, 1+(try%len(zones)), frontPort)
-		status, data = c.call(method, "http://"+entry+path, map[string]string{"Host": hostName, "Api-Key": apiKey, "X-Request-Deadline": "3000"}, body)
+		status, data = c.call(method, "http://"+entry+path, map[string]string{"Host": hostName, "Api-Key": key, "X-Request-Deadline": "3000"}, body)
 		c.record.note("client %s %s: %d %s", method, path, status, bytes.TrimSpace(data))
 		if status != 0 && status != 429 && status != 502 && status != 503 && status != 504 {
 			break
@@ -343,7 +349,11 @@
 
 // submit hands a job in and fails if it is not accepted.
 func (c *cluster) submit(prefix, id string, step map[string]any, spec string) error {
-	status, data := c.request(http.MethodPost, prefix+id, map[string]any{"spec": spec, "steps": []any{step}})
+	return c.submitWith(apiKey, prefix, id, step, spec)
+}
+
+func (c *cluster) submitWith(key, prefix, id string, step map[string]any, spec string) error {
+	status, data := c.request(http.MethodPost, prefix+id, key, map[string]any{"spec": spec, "steps": []any{step}})
 	if status != http.StatusOK {
 		return fmt.Errorf("the job was not accepted: %d %s", status, data)
 	}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -28,6 +28,7 @@
 // cases are the cases by name. Each plays its disruption only if trouble is set.
 var cases = map[string]func(c *cluster, trouble bool) error{
 	"foreign-report":   foreignReport,
+	"guaranteed-job":   guaranteedJob,
 	"lasting-task":     lastingTask,
 	"upkeep-of-killed": upkeepOfKilled,
 }
--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -24,6 +24,8 @@
 const (
 	specLasting = "lasting"
 	specWork    = "work " // Followed by the duration in milliseconds.
+	specGang    = "gang " // Followed by the number of members, a space and the rest.
+	gangWait    = 3 * time.Second
 )
 
 // workerOptions describe one life of a worker.
@@ -34,7 +36,7 @@
 }
 
 // worker is a stand-in of one life of a worker: 32 cores, 64 GB and 8 GPUs, with enforces_capacity false. It follows the pages'
-// section "Running tasks". Only what the cases need is built: no gangs, no checkpoints.
+// section "Running tasks". Only what the cases need is built: no checkpoints.
 type worker struct {
 	workerOptions
 	cluster *cluster
@@ -62,6 +64,7 @@
 	spec           string
 	beganMS, endMS int64 // endMS: when a stop ends it, 0 for none.
 	span           *span
+	gang           *gang // Nil for a task that works by itself.
 }
 
 type end struct {
@@ -112,6 +115,9 @@
 	_ = w.server.Close() // Closes the listener and all connections.
 	for _, r := range w.runs {
 		w.cluster.record.endSpan(r.span, "crashed")
+		if r.gang != nil {
+			r.gang.ended("crashed")
+		}
 	}
 	w.cluster.record.note("worker %s ends without notice; it ran %v", w.id, w.running())
 }
@@ -148,7 +154,15 @@
 			w.end(r, "lapsed")
 		case r.endMS > 0 && now >= r.endMS:
 			w.end(r, "stopped")
-		case r.workMS() > 0 && now >= r.beganMS+r.workMS():
+		case r.gang != nil && r.gang.broken():
+			w.end(r, "broken")
+		case r.gang != nil && !r.gang.atWork():
+			if now >= r.beganMS+gangWait.Milliseconds() {
+				w.end(r, "alone")
+			}
+		case r.gang != nil && r.gang.worked() >= r.workMS():
+			w.end(r, "done")
+		case r.gang == nil && r.workMS() > 0 && now >= r.beganMS+r.workMS():
 			w.end(r, "done")
 		}
 	}
@@ -156,7 +170,8 @@
 
 // workMS returns how long the run works, 0 for one that lasts.
 func (r *run) workMS() int64 {
-	if text, found := strings.CutPrefix(r.spec, specWork); found {
+	_, rest, _ := r.members()
+	if text, found := strings.CutPrefix(rest, specWork); found {
 		n, err := strconv.ParseInt(text, 10, 64)
 		if err == nil {
 			return n
@@ -165,8 +180,22 @@
 	return 0
 }
 
+// members returns the number of members of the gang that the spec names, and the rest of the spec.
+func (r *run) members() (int, string, bool) {
+	text, found := strings.CutPrefix(r.spec, specGang)
+	if !found {
+		return 0, r.spec, false
+	}
+	count, rest, _ := strings.Cut(text, " ")
+	n, err := strconv.Atoi(count)
+	return n, rest, err == nil
+}
+
 func (r *run) percent(now int64) int64 {
 	worked := now - r.beganMS
+	if r.gang != nil {
+		worked = r.gang.worked()
+	}
 	if r.workMS() > 0 {
 		return min(99, 100*worked/r.workMS())
 	}
@@ -179,6 +208,9 @@
 func (w *worker) end(r *run, how string) {
 	delete(w.runs, r.task)
 	w.cluster.record.endSpan(r.span, how)
+	if r.gang != nil {
+		r.gang.ended(how)
+	}
 	w.refused[r.task] = max(w.refused[r.task], r.number)
 	w.endCount++
 	w.ends = append(w.ends, end{w.endCount, r.task, r.number, how})
@@ -286,7 +318,11 @@
 	if b.Run <= w.refused[b.Task] {
 		return refusal("old")
 	}
-	w.runs[b.Task] = &run{task: b.Task, number: b.Run, spec: b.Spec, beganMS: w.clock(), span: w.cluster.record.beginSpan(b.Task, b.Run, w.id)}
+	r := &run{task: b.Task, number: b.Run, spec: b.Spec, beganMS: w.clock(), span: w.cluster.record.beginSpan(b.Task, b.Run, w.id)}
+	if n, _, isGang := r.members(); isGang {
+		r.gang = w.cluster.joinGang(b.Task, b.Run, n)
+	}
+	w.runs[b.Task] = r
 	w.cluster.record.note("worker %s: run %d of %s starts, token %d", w.id, b.Run, b.Task, b.Fence)
 	return http.StatusOK, map[string]any{}
 }
