--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # Exit code 1: the rule was broken, 0: it held, 2: the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/mustardwalkd ] && [ -x target/review-3/harness-3 ] || exit 2
-exec target/review-3/harness-3 -case upkeep-of-killed -record review/14/record.txt
+exec target/review-3/harness-3 -case other-urgent -record review/14/record.txt
--- a/review/harness-3/case_guaranteed.go
+++ b/review/harness-3/case_guaranteed.go
@@ -28,9 +28,13 @@
 	if err := c.submit(urgent, id, step, specGang+"2 "+specWork+"2500"); err != nil {
 		return err
 	}
+	return c.checkReclaim(id, []string{id + ".0.0.0", id + ".0.0.1"})
+}
+
+// checkReclaim returns an error if the tasks of a job that has just been accepted have not all begun within reclaim_ms.
+func (c *cluster) checkReclaim(id string, tasks []string) error {
 	acked := c.record.at()
 	const reclaim = 3400 * time.Millisecond
-	tasks := []string{id + ".0.0.0", id + ".0.0.1"}
 	for c.record.at() < acked+40*time.Second && begun(c, tasks) < len(tasks) {
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -30,6 +30,7 @@
 	"foreign-report":   foreignReport,
 	"guaranteed-job":   guaranteedJob,
 	"lasting-task":     lastingTask,
+	"other-urgent":     otherUrgent,
 	"upkeep-of-killed": upkeepOfKilled,
 }
 
