--- a/review/harness-3/cluster.go
+++ b/review/harness-3/cluster.go
@@ -44,6 +44,7 @@
 	program string
 	folder  string
 	prefix  string // First two parts of all addresses.
+	block   int    // Added to the numbers of the networks, the third part.
 	hosts   []*host
 	client  *http.Client
 
@@ -68,7 +69,7 @@
 	}
 	c := &cluster{record: record, program: program, folder: folder, gangs: map[string]*gang{}, client: &http.Client{Timeout: 4 * time.Second}}
 	for range 100 {
-		c.prefix = fmt.Sprintf("127.%d", 20+rand.IntN(200))
+		c.prefix, c.block = fmt.Sprintf("127.%d", 20+rand.IntN(200)), 10*rand.IntN(25)
 		if c.addressesFree() {
 			return c, nil
 		}
@@ -89,7 +90,9 @@
 	return true
 }
 
-func (c *cluster) ip(network, n int) string { return fmt.Sprintf("%s.%d.%d", c.prefix, network, n) }
+func (c *cluster) ip(network, n int) string {
+	return fmt.Sprintf("%s.%d.%d", c.prefix, c.block+network, n)
+}
 
 func (c *cluster) address(network, n, port int) string {
 	return net.JoinHostPort(c.ip(network, n), fmt.Sprint(port))
