--- a/internal/standin/fleet/leave.go
+++ b/internal/standin/fleet/leave.go
@@ -22,7 +22,7 @@
 
 // Leave reports that the worker is draining, serves for a while, sends the notice that the worker ends, and ends it.
 func (w *Worker) Leave(ctx context.Context, d Departure) {
-	w.setDraining()
+	w.setDraining(d.Serves)
 	for !w.report(ctx) && !d.Unannounced && ctx.Err() == nil {
 		pause(ctx, noticeRetry)
 	}
@@ -39,10 +39,11 @@
 	w.Crash()
 }
 
-func (w *Worker) setDraining() {
+// setDraining makes the worker report that it is draining, and that it serves for a while yet.
+func (w *Worker) setDraining(serves time.Duration) {
 	w.options.GangsLock.Lock()
 	defer w.options.GangsLock.Unlock()
-	w.draining = true
+	w.draining, w.endsAt = true, time.Now().Add(serves)
 }
 
 // sendNotice sends the notice that the worker ends to the control addresses in turn, until one acknowledges it.
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -65,9 +65,10 @@
 	// Guarded by GangsLock.
 	sequence    int
 	draining    bool
-	leaving     bool   // No more reports are sent.
-	reportsLost bool   // Reports do not arrive.
-	reportsTo   string // Address for the next report, empty for any.
+	endsAt      time.Time // When a draining worker sends the notice that it ends, at the earliest.
+	leaving     bool      // No more reports are sent.
+	reportsLost bool      // Reports do not arrive.
+	reportsTo   string    // Address for the next report, empty for any.
 }
 
 // StartWorker starts an incarnation of a worker.
@@ -147,6 +148,9 @@
 		"cold_left_ms": 0, "capacity": map[string]int64{"cpu": Capacity.CPU, "mem_mb": Capacity.MemoryMB, "gpus": Capacity.Accelerators},
 		"labels": []string{"a", w.options.Rack}, "clock_ms": w.sim.Clock(w.now()), "sequence": w.sequence, "born": w.incarnation.BornMS,
 	}
+	if w.draining {
+		body["drain_remaining_ms"] = max(0, time.Until(w.endsAt).Milliseconds())
+	}
 	addresses := w.addresses()
 	if w.reportsTo != "" {
 		addresses = append([]string{w.reportsTo}, addresses...)
