domain: a report alone no longer ends the worker at its address

Cause: a registration counted as proof that the worker registered at its address had ended. Its tasks were freed at once. The same held for a report under the identifier of a worker with another address: the tasks were moved to that address, and the first answer of another worker there (421) freed them.

Now a registration is stored with NoTakeover: the state machine refuses it while another worker has its address, or its identifier at another address. The leader calls the registered worker at its own address instead (no lease, no cursor). If another incarnation answers, the worker is forgotten as before and the report is taken; if the worker answers, the report is refused (400); without an answer it is refused for now (503) and the leases decide. That rests on no clock of the workers: born is no longer compared between workers at one address. It rests on the documented 421 of an incarnation that was not meant.

A later incarnation at the address of its earlier one is still moved to at once: its tasks stay where a late start could reach it until it has rejected that.

Entries of earlier versions lack NoTakeover and are replayed as they were.

--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -135,7 +135,42 @@
 	if full {
 		return service.Result{Outcome: service.NotServing}
 	}
-	return h.commitOperation(ctx, now, &domain.Command{Register: w})
+	r := h.commitOperation(ctx, now, &domain.Command{Register: w, NoTakeover: true})
+	if r.Outcome == service.Superseded {
+		r.Outcome = service.NotServing // Another report for the same address or identifier was committed first.
+	}
+	return r
+}
+
+// Limits of the wait for the end of the worker that a report contradicts.
+const (
+	verifyTimeout   = 400 * time.Millisecond // A worker waits up to a second for the answer to its report.
+	verifyPollEvery = 10 * time.Millisecond
+)
+
+// awaitNoConflict returns service.Done once no registered worker is contradicted by a report, see StateMachine.ConflictOf. It
+// has such a worker called, and refuses the report if the worker answers. The caller holds h.mu.
+func (h *Host) awaitNoConflict(ctx context.Context, now dispatch.Time, w *domain.Worker) service.Outcome {
+	since := now.Mono
+	for {
+		other := h.stateMachine.ConflictOf(w)
+		switch {
+		case other == nil:
+			return service.Done
+		case !h.leads(now) || now.Mono >= since+verifyTimeout || ctx.Err() != nil:
+			return service.NotServing
+		case h.leader.VerifiedSince(other.Incarnation, since):
+			h.log.Info("report_contradicted", "worker", w.Incarnation.ID, "born_ms", w.Incarnation.BornMS, "address", w.Address,
+				"by", other.Incarnation.ID, "by_born_ms", other.Incarnation.BornMS, "by_address", other.Address)
+			return service.Refused
+		}
+		h.leader.Verify(now, other.Incarnation)
+		h.wake()
+		h.mu.Unlock()
+		time.Sleep(verifyPollEvery)
+		h.mu.Lock()
+		now = h.now()
+	}
 }
 
 // noteReport tells the leader of a report of a registered worker. The caller holds h.mu.
--- a/internal/corehost/serve.go
+++ b/internal/corehost/serve.go
@@ -382,6 +382,10 @@
 		op.Worker.Draining = true
 	}
 	if !h.stateMachine.Registered(op.Worker) {
+		if outcome := h.awaitNoConflict(ctx, now, op.Worker); outcome != service.Done {
+			return service.Result{Outcome: outcome}
+		}
+		now = h.now()
 		r = h.storeRegistration(ctx, now, op.Worker)
 	}
 	h.noteReport(now, op.Worker, op.ClockMS)
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -147,6 +147,9 @@
 	if p.call.Kind == CallHold {
 		s.holdsInFlight--
 	}
+	if p.verifies {
+		l.verified(now, s, p, r)
+	}
 	if p.unknown {
 		s.unknownStops--
 	}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -112,6 +112,8 @@
 	sentAt  time.Duration
 	contact bool // A hold to a worker that has not answered this leader yet.
 	unknown bool // A stop of an attempt that the domain does not place there.
+	// verifies marks a hold that shows whether the worker is still there, see Leader.Verify.
+	verifies bool
 }
 
 // New begins a leadership over the applied state.
--- a/internal/domain/apply_worker.go
+++ b/internal/domain/apply_worker.go
@@ -5,12 +5,15 @@
 	"strings"
 )
 
-// applyRegister adds a worker, updates it, or replaces an earlier incarnation of it.
-func (m *StateMachine) applyRegister(w *Worker) Result {
+// applyRegister adds a worker, updates it, or replaces an earlier incarnation of it at its address.
+func (m *StateMachine) applyRegister(w *Worker, noTakeover bool) Result {
 	old := m.state.Workers[w.Incarnation.ID]
 	if old != nil && old.Incarnation.BornMS > w.Incarnation.BornMS {
 		return NotChanged // A delayed report of an earlier incarnation.
 	}
+	if noTakeover && m.ConflictOf(w) != nil {
+		return Superseded
+	}
 	if old != nil && old.Incarnation == w.Incarnation {
 		if sameRegistration(old, w) {
 			return NotChanged
@@ -41,6 +44,19 @@
 	return Applied
 }
 
+// ConflictOf returns a registered worker that a registration contradicts, nil if there is none: another worker at its address, or
+// one with its identifier at another address, which no worker changes. Only what answers at the address of that worker shows
+// whether it has ended.
+func (m *StateMachine) ConflictOf(w *Worker) *Worker {
+	var found *Worker
+	for id, other := range m.state.Workers {
+		if (id == w.Incarnation.ID) != (other.Address == w.Address) && (found == nil || id < found.Incarnation.ID) {
+			found = other
+		}
+	}
+	return found
+}
+
 // move assigns the attempts of an incarnation that has ended to the one that replaces it under its identifier. A start
 // that is carried out late would reach that one, so the tasks do not wait for a new attempt yet.
 func (m *StateMachine) move(old, added *Worker) {
--- a/internal/domain/check.go
+++ b/internal/domain/check.go
@@ -107,7 +107,7 @@
 	if c.Register != nil && c.Register.Incarnation.ID == "" {
 		return eris.New("a worker has no identifier")
 	}
-	if *c == (Command{AtMS: c.AtMS, RetentionEpoch: c.RetentionEpoch}) {
+	if *c == (Command{AtMS: c.AtMS, RetentionEpoch: c.RetentionEpoch, NoTakeover: c.NoTakeover}) {
 		return eris.New("no change that this version knows")
 	}
 	return nil
--- a/internal/domain/command.go
+++ b/internal/domain/command.go
@@ -26,6 +26,9 @@
 	Begun          *JobsBegun          `cbor:"15,keyasint,omitempty"`
 	Speeds         *RecordSpeeds       `cbor:"16,keyasint,omitempty"`
 	Interference   *RecordInterference `cbor:"17,keyasint,omitempty"`
+	// NoTakeover refuses a registration that would take the address or the identifier of another one, see
+	// StateMachine.ConflictOf. Entries of earlier versions lack it, and remove the other one with what runs there.
+	NoTakeover bool `cbor:"18,keyasint,omitempty"`
 }
 
 // SetZone takes an availability zone out of service, or puts it back into service.
--- a/internal/domain/machine.go
+++ b/internal/domain/machine.go
@@ -212,7 +212,7 @@
 	case c.Cancel != nil:
 		return m.applyCancel(c.Cancel, c.AtMS)
 	case c.Register != nil:
-		return m.applyRegister(c.Register)
+		return m.applyRegister(c.Register, c.NoTakeover)
 	case c.Forget != nil:
 		return m.applyForget(c.Forget.Incarnation, c.AtMS)
 	case c.Start != nil:
--- a/internal/domain/machine_test.go
+++ b/internal/domain/machine_test.go
@@ -388,6 +388,25 @@
 		}
 	})
 
+	// Guards against a task that is started elsewhere while its worker runs on: a report is no evidence that the worker has ended.
+	DescribeTable("does not let a registration take over what another one has", func(taken func(f *fixture) *domain.Worker) {
+		f := newFixture()
+		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
+		f.start(id("j", 0))
+		f.do(domain.Command{Register: worker("other", 5, "10.0.0.8:80")})
+		before, after := domain.New(), domain.New()
+		Expect(before.Restore(f.Snapshot())).To(Succeed())
+		Expect(f.do(domain.Command{Register: taken(f), NoTakeover: true})).To(Equal(domain.Superseded))
+		Expect(after.Restore(f.Snapshot())).To(Succeed())
+		Expect(after).To(Equal(before))
+		Expect(f.do(domain.Command{Register: taken(f)})).To(Equal(domain.Applied), "an entry of an earlier version takes over")
+	},
+		Entry("the address", func(f *fixture) *domain.Worker { return worker("x", 99, f.Worker("w").Address) }),
+		Entry("the identifier", func(f *fixture) *domain.Worker { return worker("w", 99, "10.0.0.9:80") }),
+		Entry("the whole incarnation", func(f *fixture) *domain.Worker { return worker("w", f.incarnation.BornMS, "10.0.0.9:80") }),
+		Entry("the identifier of one worker and the address of another", func(f *fixture) *domain.Worker { return worker("w", 99, "10.0.0.8:80") }),
+	)
+
 	It("purges an ended job only if it ended before the time and none of its attempts may run", func() {
 		f := newFixture()
 		f.submit(domain.JobSpec{ID: "j", MaxAttempts: 1, Steps: single})
--- a/internal/domain/random_commands_test.go
+++ b/internal/domain/random_commands_test.go
@@ -54,6 +54,7 @@
 		if r.IntN(2) == 0 {
 			c.Register.Machine = text("m")
 		}
+		c.NoTakeover = r.IntN(2) == 0
 	case 5, 6:
 		c.Start = &domain.StartAttempts{}
 		for range r.IntN(6) {
