dispatch: an answer to a call of an earlier session changes no later one

Callers saw a job that no worker took although one was idle, until the leader changed.

Cause: answers were assigned to sessions by the incarnation. The answer to a hold of the session before the worker was forgotten counted down the holds of the session after it, to -1. A hold then seemed to be in flight that was meant for an earlier incarnation, for good, and such a worker gets no work. Such an answer may also come from an address that the worker no longer has.

Each call now remembers its session, and its answer concerns no other one.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -141,8 +141,8 @@
 	case p.call.Kind == CallStop:
 		l.stopAnswered(now, s, p.call, r.Status)
 	}
-	if s == nil || s.incarnation != p.call.Worker {
-		return
+	if s == nil || s != p.session {
+		return // The worker was forgotten meanwhile. If it has registered again, it may be at another address.
 	}
 	if p.call.Kind == CallHold {
 		s.holdsInFlight--
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -109,6 +109,7 @@
 // pendingCall is a call in flight.
 type pendingCall struct {
 	call    Call
+	session *session // Of the worker's incarnation when the call was sent.
 	sentAt  time.Duration
 	contact bool // A hold to a worker that has not answered this leader yet.
 	unknown bool // A stop of an attempt that the domain does not place there.
@@ -471,6 +472,6 @@
 	if contact {
 		l.contactsInFlight++
 	}
-	l.callsInFlight[c.ID] = pendingCall{call: c, sentAt: now.Mono, contact: contact}
+	l.callsInFlight[c.ID] = pendingCall{call: c, session: s, sentAt: now.Mono, contact: contact}
 	l.out.Calls = append(l.out.Calls, c)
 }
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -316,3 +316,24 @@
 		Expect(w.violations).To(BeEmpty())
 	})
 })
+
+// Guards against a worker that gets no work for as long as the leader leads: the answer to a hold of its earlier session was
+// counted in the present one.
+var _ = It("a worker that was forgotten with a hold in flight and registers again gets work", func() {
+	w := newWorld(1, 1)
+	w.run(2 * time.Second)
+	incarnation := w.workers[0].Incarnation
+	late := 2500 * time.Millisecond
+	w.answerDelay = func(c dispatch.Call, _ dispatch.Reply) time.Duration { return late }
+	w.submit(domain.JobSpec{ID: "j", Payload: "work=500", Steps: []domain.Step{step(1, 1)}})
+	w.run(w.now + 100*time.Millisecond)
+	w.leader.WorkerLeaves(w.time(), incarnation)
+	w.run(w.now + 100*time.Millisecond)
+	Expect(w.stateMachine.Workers()).To(BeEmpty())
+	w.run(w.now + 2*time.Second)
+	Expect(w.stateMachine.Worker(incarnation.ID)).To(HaveField("Incarnation", incarnation))
+	late = 0
+	w.run(w.now + 10*time.Second)
+	Expect(w.state("j")).To(Equal(domain.JobCompleted))
+	Expect(w.violations).To(BeEmpty())
+})
