dispatch: a worker that registers again lists what runs there

Cause: only after a change of leader is a worker asked before it gets work. One that this leader has forgotten may run what it was told to start, for as long as the leases last that were granted.

Until then a worker that registers again is asked for its lists at once, and told to stop what the domain does not place there. That costs one hold for each such worker.

Evidence: dispatch "a worker that was forgotten and registers again is told to stop what runs there" failed before: the run went on.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -221,7 +221,8 @@
 		if incarnation.BornMS <= l.beganWallMS { // An earlier leader may have granted it a lease and forgotten it.
 			s.earlierLeaseEnd = max(s.earlierLeaseEnd, l.beganAt+longest(l.options.LeaseDuration))
 		}
-		s.unfenced = l.succeedsOthers && now.Mono < l.beganAt+lateCallLimit
+		// One that was forgotten may still run what it was told to start, until its leases are over.
+		s.unfenced = l.succeedsOthers && now.Mono < l.beganAt+lateCallLimit || now.Mono < l.leaseEnds[incarnation]
 		l.sessions[incarnation.ID] = s
 		l.mayNeedHold(s)
 	}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -337,3 +337,27 @@
 	Expect(w.state("j")).To(Equal(domain.JobCompleted))
 	Expect(w.violations).To(BeEmpty())
 })
+
+// Guards against a run that goes on unseen beside another one of its task: a worker that is registered again was not asked what
+// runs there until it got work.
+var _ = It("a worker that was forgotten and registers again is told to stop what runs there", func() {
+	w := newWorld(1, 3)
+	w.run(time.Second)
+	w.submit(domain.JobSpec{ID: "j", Payload: "work=30000", Steps: []domain.Step{step(1, 8)}})
+	w.run(w.now + 13*time.Second) // Workers are asked until late calls of an earlier leader are over.
+	victim := w.stateMachine.Job("j").Task(domain.TaskID{Job: "j"}).Worker
+	w.refuse = func(c dispatch.Call) dispatch.Status {
+		if c.Worker == victim {
+			return dispatch.NotListening
+		}
+		return dispatch.OK
+	}
+	w.leader.WorkerLeaves(w.time(), victim)
+	w.run(w.now + 500*time.Millisecond)
+	Expect(w.stateMachine.Worker(victim.ID)).To(BeNil())
+	w.refuse = func(dispatch.Call) dispatch.Status { return dispatch.OK }
+	w.run(w.now + 2*time.Second)
+	Expect(w.stateMachine.Worker(victim.ID)).NotTo(BeNil())
+	Expect(w.stateMachine.Job("j").Task(domain.TaskID{Job: "j"}).Worker.ID).NotTo(Equal(victim.ID))
+	Expect(w.worker(victim.ID).Call(w.now, dispatch.Call{Kind: dispatch.CallHold, Worker: victim, FencingToken: w.term}).Running).To(BeEmpty())
+})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -53,7 +53,8 @@
 	unknownNoted map[listedAttempt]bool // Such attempts that were counted and are still listed, see noteUnknown.
 	// earlierLeaseEnd is when all leases are over that were granted to the incarnation before this session.
 	earlierLeaseEnd time.Duration
-	// unfenced is set until the worker has answered its first hold, which makes it reject the starts of earlier leaders.
+	// unfenced is set until the worker has answered its first hold, which makes it reject the starts of earlier leaders, and shows
+	// what runs there.
 	unfenced       bool
 	unidentified   bool          // See noteClockRegress.
 	regressedAt    time.Duration // When the last such answer arrived.
