placement: a guarantee is reclaimed from urgent work beyond other guarantees

Cause: only work of a lower priority was ever stopped, and what runs within a guarantee was not told from what runs beyond it. The same comparison stood in three places: the victims on a worker, those of a workspace at its maximum, and the preview of a job, which takes both from the planner.

Now a guaranteed unit first stops work of lower priority, as before. After 1 s it also stops work of priority 0 that is beyond the guarantee of its own workspace; most of that is short and ends by itself until then. It costs ten times as much as other work. Stops are the planned ones: with a checkpoint, within may_miss.

What is stopped so must not be stopped again and again. Urgent tasks that last count as cheap to stop however long they have run, and each stop makes the next one dearer, so that stops rotate. These counts are in the leader's memory: they decide about fairness only.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -75,6 +75,7 @@
 	if a == nil || a.number != e.Attempt || a.incarnation != incarnation {
 		return
 	}
+	l.noteVacatedUse(now, a)
 	l.logEnd(l.state.Job(e.Task.Job), incarnation, e, cmp.Or(a.endListedAt, now.Mono)-a.adoptedAt, a.reason)
 }
 
@@ -153,6 +154,7 @@
 	delete(l.excess.jobs, j.Spec.ID)
 	l.adviceCache.forget(j)
 	maps.DeleteFunc(l.stalls, func(id domain.TaskID, _ int) bool { return id.Job == j.Spec.ID })
+	maps.DeleteFunc(l.reclaims, func(id domain.TaskID, _ int) bool { return id.Job == j.Spec.ID })
 	for k := range j.Occurrences {
 		for s := range j.Spec.Steps {
 			delete(l.readySinceMS, stepKey{j.Spec.ID, k, s})
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -20,6 +20,7 @@
 	ReasonQuota       = "quota" // The maximum of the workspace keeps the step from running.
 	ReasonNoRoom      = "no_room"
 	ReasonSpread      = "spread_limit"
+	ReasonVacated     = "kept_for_guarantee" // Work was stopped there for a guarantee a short time ago.
 	ReasonHasRoom     = "has_room"           // Kept for urgent work, reserved for a gang, or too little for a whole gang.
 	ReasonSuspectZone = "zone_seems_cut_off" // More workers of its zone fail to answer than answer.
 )
@@ -67,6 +68,8 @@
 		return ReasonQuota
 	case !step.Demand().Fits(w.Free().Minus(l.preview.startsOn(w.Incarnation.ID))):
 		return ReasonNoRoom
+	case l.vacated(now, w.Incarnation.ID) && !l.guaranteed[j.Spec.ID]:
+		return ReasonVacated
 	case step.PerWorkerLimit > 0 && l.countStep(w, key)+l.preview.tasksOn(key, w.Incarnation.ID) >= step.PerWorkerLimit:
 		return ReasonSpread
 	}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -36,6 +36,7 @@
 	sample         attemptSample   // What its run time tells about the speed of its worker.
 	pacedAt        time.Duration   // When the worker confirmed a pace last.
 	neighbours     neighbourSample // What it tells about the images beside it.
+	guaranteed     bool            // Its job was within the guarantee of its workspace when it began.
 }
 
 // stepKey names a step of an occurrence.
@@ -76,6 +77,8 @@
 	readySinceMS    map[stepKey]int64 // Since when tasks of a step could start, Unix milliseconds.
 	criticalPathsMS map[domain.JobID]int64
 	stalls          map[domain.TaskID]int // How often a task, or a gang, was stopped for want of progress; see gangKey.
+	reclaims        map[domain.TaskID]int // How often an urgent task, or a gang, was stopped for a guarantee; see gangKey.
+	guaranteed      map[domain.JobID]bool // Urgent jobs within the guarantee of their workspace, as of the last plan.
 	releasing       map[domain.JobID]int  // Occurrences that a job will have once a command that adds some is applied.
 	endedJobs       map[domain.JobID]bool // Jobs whose end was logged and counted.
 	startInFlight   bool                  // A command with starts is proposed and not applied yet.
@@ -138,6 +141,7 @@
 		readySinceMS:    map[stepKey]int64{},
 		criticalPathsMS: map[domain.JobID]int64{},
 		stalls:          map[domain.TaskID]int{},
+		reclaims:        map[domain.TaskID]int{},
 		releasing:       map[domain.JobID]int{},
 		endedJobs:       map[domain.JobID]bool{},
 		begunInFlight:   map[domain.JobID]bool{},
@@ -342,6 +346,8 @@
 		return
 	}
 	tracked := l.adopt(a.Task, t.Attempt, a.Worker, now)
+	tracked.guaranteed = l.guaranteed[a.Task.Job]
+	l.noteVacatedUse(now, tracked)
 	l.mayNeedHold(l.session(a.Worker, now))
 	if l.session(a.Worker, now).leaving { // The notice came while the start was being committed.
 		l.abandon(tracked, reasonLeaving)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -52,7 +52,10 @@
 				l.options.Observer.AttemptPreempted(l.state.Job(s.Task.Job).Spec.Priority)
 			}
 			l.options.Log("attempt_reclaimed", "job", s.Task.Job, "task", s.Task.String(), "attempt", a.number, "worker", a.incarnation.ID,
-				"for_job", s.For.Job)
+				"for_job", s.For.Job, "priority", l.state.Job(s.Task.Job).Spec.Priority)
+			if l.state.Job(s.Task.Job).Spec.Priority == 0 {
+				l.noteUrgentStopped(now, a)
+			}
 			l.abandon(a, "reclaimed for "+string(s.For.Job))
 		}
 	}
@@ -197,40 +200,6 @@
 	return longest
 }
 
-// markGuaranteed marks the units of urgent jobs that fit into the guarantee of their workspace, counted in the order of
-// acceptance, and the units that may preempt.
-func (l *Leader) markGuaranteed(units []*placement.Unit) {
-	need := map[string]int64{}
-	covered := map[domain.JobID]bool{}
-	var urgent []*domain.Job
-	for j := range l.openJobs() {
-		if j.Spec.Priority == 0 && len(j.Occurrences) > 0 {
-			urgent = append(urgent, j)
-		}
-	}
-	slices.SortFunc(urgent, func(a, b *domain.Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
-	for _, j := range urgent {
-		need[j.Spec.Workspace] += acceleratorNeed(j)
-		covered[j.Spec.ID] = need[j.Spec.Workspace] <= l.state.Guarantee(j.Spec.Workspace)
-	}
-	for _, u := range units {
-		u.Guaranteed = covered[u.Job.Spec.ID]
-		u.Excess = l.excess.jobs[u.Job.Spec.ID]
-		// Expired work and excess are placed last: the work that they preempted would start again before them.
-		u.MayPreempt = u.Job.Spec.Priority == 0 && (u.Guaranteed || !u.Expired && !u.Excess)
-	}
-}
-
-// acceleratorNeed returns the accelerators that a job would take if all its steps ran at once, an upper bound of its
-// need.
-func acceleratorNeed(j *domain.Job) int64 {
-	var n int64
-	for i := range j.Spec.Steps {
-		n += int64(j.Spec.Steps[i].Count) * j.Spec.Steps[i].Task.Accelerators
-	}
-	return n
-}
-
 // stepTasksOn counts the tasks of a unit's step on a worker.
 func (l *Leader) stepTasksOn(u *placement.Unit, w *placement.Worker) int {
 	worker := l.state.Worker(w.Incarnation.ID)
@@ -269,7 +238,7 @@
 		w := l.state.Worker(id)
 		all[i] = placement.Worker{
 			Incarnation: w.Incarnation, Pool: w.Pool, Zone: w.Zone, Rack: w.Rack, Labels: w.Labels, Free: w.Free(), Usable: l.usable(now, w) && !suspect[w.Zone],
-			Total: w.Capacity, Stopping: stopping[id],
+			Total: w.Capacity, Stopping: stopping[id], Vacated: l.vacated(now, id),
 		}
 		all[i].ServingTasks, all[i].BestEffortCPU = l.sharing(w)
 		all[i].Speed, all[i].SpeedError = l.speedOf(w)
@@ -358,7 +327,7 @@
 		tracked := l.attempts[id]
 		step := &j.Spec.Steps[id.Step]
 		unsaved := now.WallMS - j.Task(id).StartedMS
-		if step.Checkpointable {
+		if step.Checkpointable || (step.LongRunning && j.Spec.Priority == 0) { // Urgent tasks that last produce no result that is lost.
 			unsaved = min(unsaved, l.options.RestoreTime.Milliseconds())
 		}
 		members := 1
@@ -368,7 +337,7 @@
 		out = append(out, placement.RunningAttempt{
 			Task: id, Demand: step.Demand(), Priority: j.Spec.Priority, Members: members,
 			Stopping: tracked == nil || tracked.stopWanted, UnsavedMS: unsaved,
-			DisruptionBudget: l.disruptionBudget(id), Counted: l.counted(j, step),
+			Guaranteed: l.guaranteed[id.Job], Reclaims: l.reclaims[l.gangKey(id)], DisruptionBudget: l.disruptionBudget(id), Counted: l.counted(j, step),
 			AtRisk: now.WallMS+2*l.runTimeMS(j, step) > l.objectiveStart(j, id.Occurrence)+l.objective(j),
 		})
 	}
--- a/internal/dispatch/preview.go
+++ b/internal/dispatch/preview.go
@@ -136,14 +136,24 @@
 	return &c
 }
 
-// laterPreemptions returns the preemptions of the plan in which gangs of the previewed job that did not start preempt. That is
-// a later plan than the first one, since gangs preempt only after a short wait. If there are none, it returns those of the first.
+// laterPreemptions returns the preemptions of the plan in which the units of the previewed job that did not start preempt after a
+// wait: gangs after a short one, and guaranteed units after another one stop urgent work. If there are none, it returns those of
+// the first plan.
 func (l *Leader) laterPreemptions(v *placement.View, first []placement.Preemption) []placement.Preemption {
 	again := false
 	for _, u := range v.Units {
-		if u.Job == l.preview.job && u.MayPreempt && u.Job.Spec.Steps[u.Step].Gang && len(l.preview.tasks[stepKey{u.Job.Spec.ID, 0, u.Step}]) == 0 {
-			u.WaitedMS = placement.PreemptAfterWaitMS
-			again = true
+		if u.Job != l.preview.job || !u.MayPreempt {
+			continue
+		}
+		started := 0
+		for _, n := range l.preview.tasks[stepKey{u.Job.Spec.ID, 0, u.Step}] {
+			started += n
+		}
+		switch {
+		case u.Guaranteed && started < len(u.Indexes):
+			u.WaitedMS, again = placement.StopUrgentAfterMS, true
+		case u.Job.Spec.Steps[u.Step].Gang && started == 0:
+			u.WaitedMS, again = placement.PreemptAfterWaitMS, true
 		}
 	}
 	if !again {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -63,6 +63,7 @@
 	leaving        bool          // The worker has announced its end; it is forgotten once it has no attempts.
 	gone           bool          // It has announced its end, and then nothing listened at its address: it runs nothing any more.
 	leavesAt       time.Duration // Earliest end of a draining worker, as it has reported; 0 if it has not.
+	vacatedUntil   time.Duration // Until then only guaranteed work starts there, see vacatedFor; 0 if it is not kept.
 	verifying      bool          // A verification is in flight, see Leader.Verify.
 	verifications  int           // How many were sent.
 	verifiedAt     time.Duration // When the last one was sent that the worker has answered, 0 if there is none.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -57,6 +57,7 @@
 	// emptyInRack counts the usable workers on which nothing runs, by rack.
 	emptyInRack map[string]int
 	plan        Plan
+	stopsUrgent bool                   // Urgent attempts that are beyond the guarantees of their workspaces may be stopped, too.
 	quotas      *quotas                // Nil if no workspace has a maximum.
 	preempted   map[domain.TaskID]bool // Attempts that this decision stops, or considers stopping.
 	speeds      fleetSpeed
@@ -214,7 +215,7 @@
 // eligible tells whether a worker may run tasks of a unit, regardless of its free capacity and of the spread limit.
 func (d *decision) eligible(u *Unit, s *slot) bool {
 	step := u.step()
-	if d.keptForUrgent(u, s, d.emptyWorkers) || d.tooSlow(s) {
+	if d.keptForUrgent(u, s, d.emptyWorkers) || d.tooSlow(s) || (s.Vacated && !u.Guaranteed) {
 		return false
 	}
 	if u.Allowed != nil && !u.Allowed[s.Incarnation.ID] {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -10,8 +10,35 @@
 // acceleratorCores is the price of an accelerator in cores, by which the costs of preemptions are compared.
 const acceleratorCores = 8
 
-// atRiskWeight multiplies the cost of stopping an attempt whose job misses its objective because of the stop.
-const atRiskWeight = 3
+// Weights of the cost of a stop.
+const (
+	atRiskWeight     = 3  // The job of the attempt misses its objective because of the stop.
+	urgentStopWeight = 10 // The attempt is urgent.
+)
+
+// StopUrgentAfterMS is how long guaranteed work waits before it stops urgent work that is beyond the guarantee of its own
+// workspace. Most of that is short and ends by itself, and a stop and a start still fit into the bound of a guarantee.
+const StopUrgentAfterMS = 1000
+
+// mayStop tells whether an attempt may be stopped for a unit: work of lower priority for any unit, urgent work only for
+// a guarantee.
+func (d *decision) mayStop(u *Unit, t *RunningAttempt) bool {
+	return t.Priority > u.Job.Spec.Priority || (d.stopsUrgent && !t.Guaranteed)
+}
+
+// alsoStoppingUrgent calls preempt, and if it does not make all the room for a guaranteed unit, calls it again with urgent
+// attempts among those that may be stopped.
+func (d *decision) alsoStoppingUrgent(u *Unit, preempt func() bool) bool {
+	if preempt() {
+		return true
+	}
+	if d.stopsUrgent || !u.Guaranteed || u.WaitedMS < StopUrgentAfterMS {
+		return false
+	}
+	d.stopsUrgent = true
+	defer func() { d.stopsUrgent = false }()
+	return preempt()
+}
 
 // preemptForTasks stops attempts to make room for tasks that have none, if their unit may preempt. The capacity that is
 // being freed is withheld from units that come later in the order.
@@ -19,28 +46,36 @@
 	if !u.MayPreempt {
 		return
 	}
-	search := d.newVacancySearch(u, d.preemptionSlots(u), demand)
-	for n, index := range indexes {
-		if n > 0 && d.atMax(u, 0, 1) {
-			return // The first task was checked before.
-		}
-		i := search.cheapest()
-		if i < 0 || d.tooCostly(u, search.prices[i], 1) {
-			return
+	first := indexes[0] // It was checked before against the maximum of its workspace.
+	d.alsoStoppingUrgent(u, func() bool {
+		search := d.newVacancySearch(u, d.preemptionSlots(u), demand)
+		for ; len(indexes) > 0; indexes = indexes[1:] {
+			if indexes[0] != first && d.atMax(u, 0, 1) {
+				return true // Stops make no room below the maximum.
+			}
+			i := search.cheapest()
+			if i < 0 || d.tooCostly(u, search.prices[i], 1) {
+				return false
+			}
+			s := search.slots[i]
+			d.preempt(u.task(indexes[0]), s, d.victims(u, s, demand))
+			d.allocate(u, s, demand)
+			search.changed(i)
 		}
-		s := search.slots[i]
-		d.preempt(u.task(index), s, d.victims(u, s, demand))
-		d.allocate(u, s, demand)
-		search.changed(i)
-	}
+		return true
+	})
 }
 
-// preemptForGang stops attempts to make room for all members. A gang that still waits for one rack gets the rack in
-// which that discards the least work.
+// preemptForGang stops attempts to make room for all members.
 func (d *decision) preemptForGang(u *Unit) {
-	if !u.MayPreempt || u.WaitedMS < PreemptAfterWaitMS {
-		return
+	if u.MayPreempt && u.WaitedMS >= PreemptAfterWaitMS {
+		d.alsoStoppingUrgent(u, func() bool { return d.preemptForMembers(u) })
 	}
+}
+
+// preemptForMembers stops attempts to make room for all members of a gang, or stops none and returns false. A gang that still
+// waits for one rack gets the rack in which that discards the least work.
+func (d *decision) preemptForMembers(u *Unit) bool {
 	groups := [][]*slot{d.preemptionSlots(u)}
 	if u.step().SameRack && u.WaitedMS < d.preferredRackWaitMS(u) && d.someRackFitsWhenEmpty(u) {
 		groups = groups[:0]
@@ -56,14 +91,15 @@
 			best, bestCost = vacancies, cost
 		}
 	}
-	if d.tooCostly(u, bestCost, len(u.Indexes)) {
-		return
+	if best == nil || d.tooCostly(u, bestCost, len(u.Indexes)) {
+		return false
 	}
 	demand := u.step().Demand()
 	for i, r := range best {
 		d.preempt(u.task(u.Indexes[i]), r.slot, r.victims)
 		d.allocate(u, r.slot, demand)
 	}
+	return true
 }
 
 // preemptionSlots returns the workers on which a unit may preempt: those in the rack of its data as long as waiting for
@@ -173,8 +209,8 @@
 	}
 }
 
-// eachVictim calls do for the cheapest attempts of lower priority on a worker, in the order of cost, until their end
-// makes a demand fit. It returns false if that never happens.
+// eachVictim calls do for the cheapest attempts on a worker that may be stopped for a unit, in the order of cost, until their
+// end makes a demand fit. It returns false if that never happens.
 func (d *decision) eachVictim(u *Unit, s *slot, demand domain.Resources, do func(*RunningAttempt)) bool {
 	future := s.future
 	if demand.Fits(future) {
@@ -183,7 +219,7 @@
 	attempts := d.attempts(s)
 	for i := range attempts {
 		t := &attempts[i]
-		if t.Priority <= u.Job.Spec.Priority || t.Stopping || d.preempted[t.Task] || !d.withinDisruptionBudget(*t) {
+		if !d.mayStop(u, t) || t.Stopping || d.preempted[t.Task] || !d.withinDisruptionBudget(*t) {
 			continue
 		}
 		do(t)
@@ -239,7 +275,10 @@
 	if r.AtRisk {
 		c *= atRiskWeight
 	}
-	return c
+	if r.Priority == 0 {
+		c *= urgentStopWeight
+	}
+	return c * int64(1+r.Reclaims) // Otherwise work that has just started again would be stopped each time.
 }
 
 // cores returns the cores that a demand counts as when costs are compared.
--- a/internal/placement/quota.go
+++ b/internal/placement/quota.go
@@ -162,11 +162,11 @@
 	switch {
 	case u.MayPreempt && u.WaitedMS >= PreemptAfterWaitMS:
 		if u.step().Gang {
-			d.preemptInWorkspace(w, u, indexes)
+			d.alsoStoppingUrgent(u, func() bool { return d.preemptInWorkspace(w, u, indexes) })
 			return
 		}
 		for n := range indexes {
-			if !d.preemptInWorkspace(w, u, indexes[n:n+1]) {
+			if !d.alsoStoppingUrgent(u, func() bool { return d.preemptInWorkspace(w, u, indexes[n:n+1]) }) {
 				return
 			}
 		}
@@ -184,9 +184,10 @@
 	}
 }
 
-// preemptInWorkspace finds room for tasks of an urgent unit and stops lower-priority attempts of its workspace, so that the
-// tasks can run there once these have ended. It returns false if the stops would not suffice, or there is no room.
+// preemptInWorkspace finds room for tasks of an urgent unit and stops attempts of its workspace that may be stopped for it, so
+// that the tasks can run there once these have ended. It returns false if the stops would not suffice, or there is no room.
 func (d *decision) preemptInWorkspace(w *quota, u *Unit, indexes []int) bool {
+	d.dropHold(u) // Of a try before.
 	need := u.step().Counted().Times(len(indexes))
 	if !d.canFree(w, u, need) {
 		d.holdIfFits(w, u, len(indexes))
@@ -236,7 +237,7 @@
 	}
 }
 
-// canFree tells whether stops of lower-priority attempts, together with those that are under way, make room for a need below
+// canFree tells whether stops of attempts that may be stopped, together with those that are under way, make room for a need below
 // the maximum of a workspace.
 func (d *decision) canFree(w *quota, u *Unit, need domain.Resources) bool {
 	later := w.taken.Minus(w.stopping)
@@ -285,7 +286,7 @@
 
 // stoppable tells whether an attempt may be stopped for a unit of its workspace.
 func (d *decision) stoppable(u *Unit, v *quotaVictim) bool {
-	return v.Priority > u.Job.Spec.Priority && !v.Stopping && !d.quotas.stopped[v.firstMember()] && d.withinDisruptionBudget(v.RunningAttempt)
+	return d.mayStop(u, &v.RunningAttempt) && !v.Stopping && !d.quotas.stopped[v.firstMember()] && d.withinDisruptionBudget(v.RunningAttempt)
 }
 
 // preemptAnywhere stops an attempt that may be on a worker of another pool, or on one that takes no new work.
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -16,6 +16,7 @@
 	Labels      []string
 	Free        domain.Resources // Capacity that no attempt takes; an attempt that is being stopped still takes its part.
 	Usable      bool             // In service, in contact, not draining, not quarantined.
+	Vacated     bool             // Work was stopped there for a guarantee a short time ago: only guaranteed units may use it.
 	// Total is the whole capacity, Stopping the part of it that is taken by attempts that are being stopped.
 	Total         domain.Resources
 	Stopping      domain.Resources
@@ -38,6 +39,8 @@
 	// attempt loses only the time of its restore.
 	UnsavedMS        int64
 	AtRisk           bool     // Its job misses its objective if the attempt has to start again.
+	Guaranteed       bool     // Urgent and within the guarantee of its workspace.
+	Reclaims         int      // How often its task, or its gang, was stopped although it was urgent, see decision.stopsUrgent.
 	Counted          *Counted // Nil if its workspace has no maximum.
 	DisruptionBudget int      // How many more tasks of its step may be stopped now, or Unlimited.
 }
