corehost: a limit for the log lines about refused claims

Each report that a registered worker contradicts was logged; another writer may send any number of them. Now at most one line a second after five, as for reports that cannot be read.

--- a/internal/corehost/host.go
+++ b/internal/corehost/host.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/mustardwalk/mustardwalk/internal/dispatch"
 	"github.com/mustardwalk/mustardwalk/internal/domain"
@@ -106,6 +107,7 @@
 	jobsWereFull     bool
 	// registrationsFull tells whether the last change of a registration found no room, see maxRegistrations.
 	registrationsFull bool
+	contradictions    *rate.Limiter     // Of log lines about reports that a registered worker contradicts.
 	received          *receivedState    // Of a snapshot in the messages that are handled just now, else nil.
 	failed            error             // An output of the replica was not executed in full; the host must exit.
 	zones             map[string]string // Zones by host; the founding configuration does not name them.
@@ -140,6 +142,7 @@
 	h := &Host{
 		settings: settings, log: log, clock: suspend.New(), outbound: outbound, metrics: m, store: newStore(settings.DataFolder, file, log),
 		stateMachine: domain.New(), pendingProposals: map[uint64]pendingProposal{}, zones: map[string]string{settings.Address: settings.Zone}, wakeup: make(chan struct{}, 1), disk: newDiskQueue(),
+		contradictions: rate.NewLimiter(rate.Every(contradictionLogInterval), 5),
 	}
 	m.registerGauges(h)
 	h.settings.Dispatch.Observer = m
--- a/internal/corehost/reports.go
+++ b/internal/corehost/reports.go
@@ -146,6 +146,8 @@
 const (
 	verifyTimeout   = 400 * time.Millisecond // A worker waits up to a second for the answer to its report.
 	verifyPollEvery = 10 * time.Millisecond
+	// contradictionLogInterval limits the rate of log lines about refused reports, of which another writer may send any number.
+	contradictionLogInterval = time.Second
 )
 
 // awaitNoConflict returns service.Done once no registered worker is contradicted by a report, see StateMachine.ConflictOf. It
@@ -160,8 +162,10 @@
 		case !h.leads(now) || now.Mono >= since+verifyTimeout || ctx.Err() != nil:
 			return service.NotServing
 		case h.leader.VerifiedSince(other.Incarnation, since):
-			h.log.Info("report_contradicted", "worker", w.Incarnation.ID, "born_ms", w.Incarnation.BornMS, "address", w.Address,
-				"by", other.Incarnation.ID, "by_born_ms", other.Incarnation.BornMS, "by_address", other.Address)
+			if h.contradictions.Allow() {
+				h.log.Info("report_contradicted", "worker", w.Incarnation.ID, "born_ms", w.Incarnation.BornMS, "address", w.Address,
+					"by", other.Incarnation.ID, "by_born_ms", other.Incarnation.BornMS, "by_address", other.Address)
+			}
 			return service.Refused
 		}
 		h.leader.Verify(now, other.Incarnation)
