dispatch: a silent worker whose identifier is claimed is forgotten soon

A worker that neither answers nor reports (for the time after which it gets no work), and whose address or identifier is claimed, is now forgotten once it has no attempts. Its attempts still end with its leases, so nothing is freed early; if it was only cut off, it registers again, and the other one is called then.

--- a/internal/corehost/takeover_test.go
+++ b/internal/corehost/takeover_test.go
@@ -174,6 +174,25 @@
 		}, SpecTimeout(20*time.Second)),
 	)
 
+	// Guards against a worker that has restarted at another address and gets no work for half a minute.
+	DescribeTable("takes over once that worker neither answers nor reports, and its leases are over", func(ctx SpecContext, idle bool, limit time.Duration) {
+		h, workers, busy := start(ctx)
+		id, address := busy.Incarnation.ID, busy.Address
+		if idle {
+			id, address = map[string]string{"i-1": "i-2", "i-2": "i-1"}[id], map[string]string{first: second, second: first}[address]
+		}
+		workers.setSilent(address, true)
+		w := registration(domain.WorkerIncarnation{ID: id, BornMS: time.Now().UnixMilli()}, "10.0.0.3:80")
+		workers.serve(w.Address, w.Incarnation)
+		Eventually(func() service.Outcome { return h.report(ctx, w) }, limit, 500*time.Millisecond).Should(Equal(service.Done))
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		Expect(h.stateMachine.Worker(id)).To(HaveField("Address", w.Address))
+	},
+		Entry("without attempts", true, 6*time.Second, SpecTimeout(20*time.Second)),
+		Entry("with an attempt", false, 16*time.Second, SpecTimeout(30*time.Second)),
+	)
+
 	// Guards against a task that starts elsewhere while its worker is cut off and runs on under its lease.
 	It("does not take over while that worker leaves calls unanswered, and takes over once the address has answered", func(ctx SpecContext) {
 		h, workers, busy := start(ctx)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -67,6 +67,7 @@
 	verifying      bool          // A verification is in flight, see Leader.Verify.
 	verifications  int           // How many were sent.
 	verifiedAt     time.Duration // When the last one was sent that the worker has answered, 0 if there is none.
+	verifySentAt   time.Duration // When the last one was sent.
 	nextVerifyAt   time.Duration // Earliest time of the next one.
 	forgetInFlight bool          // A command that forgets this incarnation is proposed and not applied yet.
 }
--- a/internal/dispatch/verify.go
+++ b/internal/dispatch/verify.go
@@ -23,7 +23,7 @@
 	if s.verifying || s.forgetInFlight || now.Mono < s.nextVerifyAt || (s.fenced && s.verifications >= maxFencedVerifications) {
 		return
 	}
-	s.verifying = true
+	s.verifying, s.verifySentAt = true, now.Mono
 	s.verifications++
 	s.holdsInFlight++
 	l.holdsInFlight[incarnation.ID]++
@@ -41,6 +41,12 @@
 	}
 }
 
+// claimedSilent tells whether the address or the identifier of a worker is claimed for another incarnation, while the worker
+// itself neither answers nor reports.
+func (l *Leader) claimedSilent(now Time, s *session) bool {
+	return s.verifications > 0 && now.Mono-s.verifySentAt < 2*l.options.ReportPeriod && s.failures > 0 && l.unheard(now, s) > l.reportLimit()
+}
+
 // VerifiedSince reports whether a worker has answered a verification that was sent at a time or later: then it has not ended.
 func (l *Leader) VerifiedSince(incarnation domain.WorkerIncarnation, since time.Duration) bool {
 	s := l.sessions[incarnation.ID]
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -212,7 +212,7 @@
 		if l.foreign(w) {
 			heard = s.answeredAt
 		}
-		if now.Mono-heard > forgetAfter || s.replaced {
+		if now.Mono-heard > forgetAfter || s.replaced || l.claimedSilent(now, s) {
 			l.forget(now, s)
 		}
 	}
