test/listeners: the large reports have all documented fields

Traced: since a report without version, slots, cold_left_ms and clock_ms is refused, and the report of this test had none of them.

The reports of this suite now have these fields; sizes, limits and statuses that are checked are the same.

--- a/test/listeners/listeners_test.go
+++ b/test/listeners/listeners_test.go
@@ -110,7 +110,7 @@
 			return map[string]act{d.control: asks(request("PUT", "/config", body))}
 		}),
 		Entry("labels at control", func() map[string]act {
-			body := `{"service":"svc","address":"127.0.0.1:9","zone":"z1","state":"ready","capacity":{"cpu":1,"mem_mb":1,"gpus":0},"sequence":1,"labels":` +
+			body := `{"service":"svc","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":1,"state":"ready","cold_left_ms":0,"capacity":{"cpu":1,"mem_mb":1,"gpus":0},"clock_ms":1,"sequence":1,"labels":` +
 				repeated(`""`, emptyObjects) + `}`
 			return map[string]act{d.control: asks(request("PUT", "/instances/x", body))}
 		}),
@@ -214,7 +214,7 @@
 		job := fleet.JobBody("work=10", steps...)
 		Expect(len(job)).To(And(BeNumerically(">", 150_000), BeNumerically("<", 262_144)))
 		Expect(d.client.Submit(limited(), d.nextJob(), job)).To(Equal(http.StatusOK))
-		text := fmt.Sprintf(`{"service":"svc","address":"127.0.0.1:9","zone":"z1","state":"ready","capacity":{"cpu":1,"mem_mb":1,"gpus":0},"sequence":1,`+
+		text := fmt.Sprintf(`{"service":"svc","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":1,"state":"ready","cold_left_ms":0,"capacity":{"cpu":1,"mem_mb":1,"gpus":0},"clock_ms":1,"sequence":1,`+
 			`"labels":["a","r2"],"other":%q,"more":`, strings.Repeat("x", reportBytes/2))
 		for _, rest := range []string{fmt.Sprintf("%q}", strings.Repeat("y", reportBytes-len(text)-3)), repeated("1000000", (reportBytes-len(text))/8-1) + "}"} {
 			Expect(d.operator.Send(limited(), http.MethodPut, "/instances/large", []byte(text+rest))).To(Equal(http.StatusOK))
